workspace: modules, protocols and checks

Cause: an empty repository has nothing that parts can agree on. Ruled out: one large module (house style asks for a workspace of small libraries); a protocol of our own codec (drpc fits between our processes). Before: nothing. Conclusion: the parts can be written beside each other.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# Modules of the workspace, in dependency order.
+MODULES := $(shell sed -n 's|^	\./||p' go.work)
+TESTED  := $(filter-out tools,$(MODULES))
+PKGS    := $(TESTED:%=./%/...)
+
+.PHONY: all build fmt-check vet lint test demo bench policy-bench model model-mutants generate clean
+
+all: build
+
+build:
+	go build -o .bin/ $(PKGS)
+
+fmt-check:
+	@out=$$(gofmt -l $(TESTED)); if [ -n "$$out" ]; then echo "not gofmt-clean:"; echo "$$out"; exit 1; fi
+
+vet:
+	go vet $(PKGS)
+
+lint:
+	go tool staticcheck -checks inherit $(PKGS)
+
+test:
+	go test -race -count=1 $(PKGS)
+
+generate:
+	go build -o .bin/ google.golang.org/protobuf/cmd/protoc-gen-go storj.io/drpc/cmd/protoc-gen-go-drpc
+	PATH=$(CURDIR)/.bin:$$PATH protoc --go_out=wire --go_opt=module=cassialatch.dev/wire --go-drpc_out=wire --go-drpc_opt=module=cassialatch.dev/wire -I wire wire/peerpb/peer.proto
+
+clean:
+	rm -rf .bin out
--- /dev/null
+++ b/bench/doc.go
@@ -0,0 +1,2 @@
+// Package bench is part of cassialatch.
+package bench
--- /dev/null
+++ b/cassialatch/main.go
@@ -0,0 +1,4 @@
+// Command cassialatch is part of cassialatch.
+package main
+
+func main() {}
--- /dev/null
+++ b/cassialatchd/main.go
@@ -0,0 +1,4 @@
+// Command cassialatchd is part of cassialatch.
+package main
+
+func main() {}
--- /dev/null
+++ b/fleet/doc.go
@@ -0,0 +1,2 @@
+// Package fleet is part of cassialatch.
+package fleet
--- /dev/null
+++ b/seal/doc.go
@@ -0,0 +1,2 @@
+// Package seal is part of cassialatch.
+package seal
--- /dev/null
+++ b/standin/doc.go
@@ -0,0 +1,2 @@
+// Package standin is part of cassialatch.
+package standin
--- /dev/null
+++ b/wire/doc.go
@@ -0,0 +1,2 @@
+// Package wire holds the protocol between cassialatchd processes.
+package wire
