placement: planner with bounded load and the baselines to measure it against

Cause: an entry must find the backend server where a chat is warm without filling one while others idle, on load figures that are some time old. Ruled out: consistent hashing alone (takes no notice of load); the least loaded of all (every entry sends its work to the same idle one); sorting all candidates for each request (only the first two of the order are used). Change: Order, the planner (chat token, index, rendezvous order with bounded load, power of two choices), a stated rule that weighs the queue of a warm backend server against the prefill it saves, and five baselines behind the same interface. Before: nothing.

--- /dev/null
+++ b/fleet/placement/placement_test.go
@@ -0,0 +1,142 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func pool(n int) []Candidate {
+	candidates := make([]Candidate, n)
+	for i := range candidates {
+		candidates[i] = Candidate{Backend: fmt.Sprintf("runner-%d", i), Known: true, Limit: 8, Weight: 1}
+	}
+	return candidates
+}
+
+func names(candidates []Candidate) []string {
+	var ids []string
+	for _, c := range candidates {
+		ids = append(ids, c.Backend)
+	}
+	return ids
+}
+
+func TestOrderKeepsTheOthersWhenOneLeaves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ids := rapid.SliceOfNDistinct(rapid.StringMatching(`[a-z]{1,6}`), 1, 30, rapid.ID).Draw(t, "ids")
+		key := rapid.String().Draw(t, "key")
+		gone := rapid.SampledFrom(ids).Draw(t, "gone")
+		isGone := func(id string) bool { return id == gone }
+		want := slices.DeleteFunc(Order(key, ids), isGone)
+		got := Order(key, slices.DeleteFunc(slices.Clone(ids), isGone))
+		if !slices.Equal(got, want) {
+			t.Fatalf("got %v, want %v", got, want)
+		}
+	})
+}
+
+func TestOrderSpreadsKeysEvenly(t *testing.T) {
+	is := is.New(t)
+	firsts := map[string]int{}
+	for i := range 10_000 {
+		firsts[Order(fmt.Sprintf("chat-%d", i), names(pool(10)))[0]]++
+	}
+	for _, n := range firsts {
+		is.True(n > 850 && n < 1150)
+	}
+}
+
+func TestTokenGoesBeforeIndexAndRendezvous(t *testing.T) {
+	is := is.New(t)
+	r := Request{ChatKey: "c", Warm: "runner-3", Indexed: "runner-5", IndexedTokens: 600, PromptTokens: 1000}
+	got := NewPlanner(Options{}).Plan(r, pool(10))
+	is.Equal(got[0], Choice{"runner-3", ReasonWarm})
+	is.Equal(got[1], Choice{"runner-5", ReasonIndex})
+	is.Equal(got[2], Choice{Order("c", names(pool(10)))[0], ReasonRendezvous})
+}
+
+func TestSharedPromptAloneDoesNotDrawAChat(t *testing.T) {
+	is := is.New(t)
+	first := Order("c", names(pool(10)))[0]
+	r := Request{ChatKey: "c", Indexed: "runner-5", IndexedTokens: 400, PromptTokens: 1000}
+	is.Equal(NewPlanner(Options{}).Plan(r, pool(10))[0], Choice{first, ReasonRendezvous})
+}
+
+func TestWarmIsKeptWhileItsQueueIsShorterThanThePrefill(t *testing.T) {
+	is := is.New(t)
+	candidates := pool(10)
+	candidates[3].InFlight, candidates[3].Queued = 8, 1 // wait: 2 * 4s / 8 = 1s
+	r := Request{ChatKey: "c", Warm: "runner-3", WarmTokens: 4000}
+	is.Equal(NewPlanner(Options{}).Plan(r, candidates)[0].Reason, ReasonWarm)
+	r.WarmTokens = 3999
+	is.True(NewPlanner(Options{}).Plan(r, candidates)[0].Reason != ReasonWarm)
+}
+
+func TestRendezvousSpillsPastTheOneAtItsBound(t *testing.T) {
+	is := is.New(t)
+	candidates := pool(10)
+	order := Order("c", names(candidates))
+	for i := range candidates {
+		if candidates[i].Backend == order[0] {
+			candidates[i].InFlight, candidates[i].Weight = 4, 0.5
+		}
+	}
+	is.Equal(NewPlanner(Options{}).Plan(Request{ChatKey: "c"}, candidates)[0], Choice{order[1], ReasonSpill})
+}
+
+func TestPlanNamesOnlyUsableOnesAndEachOnce(t *testing.T) {
+	planners := []Planner{
+		NewPlanner(Options{}), &RoundRobin{}, Random{}, LeastLoaded{}, ConsistentHash{}, RandomTopN{3},
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		candidates := pool(rapid.IntRange(0, 12).Draw(t, "n"))
+		open := 0
+		for i := range candidates {
+			c := &candidates[i]
+			c.InFlight = rapid.IntRange(0, 10).Draw(t, "inflight")
+			c.Known = rapid.Bool().Draw(t, "known")
+			c.Leaving = rapid.Bool().Draw(t, "leaving")
+			c.Weight = rapid.SampledFrom([]float64{0, 0.05, 0.5, 1}).Draw(t, "weight")
+			if !c.Leaving && c.Backend != "runner-1" {
+				open++
+			}
+		}
+		r := Request{ChatKey: "c", Warm: "runner-1", Excluded: func(b string) bool { return b == "runner-1" }}
+		for _, p := range planners {
+			checkPlan(t, p.Plan(r, candidates), candidates, open)
+		}
+	})
+}
+
+func checkPlan(t *rapid.T, plan []Choice, candidates []Candidate, usable int) {
+	if (len(plan) > 0) != (usable > 0) || len(plan) > DefaultMaxChoices {
+		t.Fatalf("%d choices of %d usable", len(plan), usable)
+	}
+	seen := map[string]bool{"runner-1": true}
+	for _, choice := range plan {
+		i := slices.IndexFunc(candidates, func(c Candidate) bool { return c.Backend == choice.Backend })
+		if seen[choice.Backend] || candidates[i].Leaving {
+			t.Fatalf("%v chosen", choice)
+		}
+		seen[choice.Backend] = true
+	}
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, n := range []int{10, 200, 2000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			candidates, p := pool(n), NewPlanner(Options{})
+			for i := range candidates {
+				candidates[i].InFlight = i % 9
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Plan(Request{ChatKey: "chat", Warm: "runner-8", WarmTokens: 500}, candidates)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/fleet/placement/planner.go
@@ -0,0 +1,237 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// NewPlanner returns the planner that the daemon uses. It prefers the backend
+// server of the chat token, then that of the index, then the chat's rendezvous
+// order with bounded load along the order, then the less loaded of two random
+// ones.
+//
+// A warm backend server at its bound is kept as long as the time in its queue,
+// beyond the shortest queue elsewhere, is at most the prefill that it saves:
+//
+//	wait(warm) - min wait <= WarmTokens * PrefillPerToken
+//	wait = (InFlight + Queued - bound + 1) * MeanService / bound, 0 below the bound
+//	bound = Limit * Weight
+func NewPlanner(o Options) Planner {
+	if o.MaxChoices <= 0 {
+		o.MaxChoices = DefaultMaxChoices
+	}
+	if o.PrefillPerToken <= 0 {
+		o.PrefillPerToken = DefaultPrefillPerToken
+	}
+	if o.MeanService <= 0 {
+		o.MeanService = DefaultMeanService
+	}
+	if o.IndexShare <= 0 {
+		o.IndexShare = DefaultIndexShare
+	}
+	if o.IntN == nil {
+		o.IntN = rand.IntN
+	}
+	return &planner{o}
+}
+
+type planner struct{ Options }
+
+// rendezvousChoices is how many of the rendezvous order a plan may hold. The
+// rest of the plan is left to the least loaded.
+const rendezvousChoices = 2
+
+// Plan implements Planner in one pass over the candidates.
+func (p *planner) Plan(r Request, candidates []Candidate) []Choice {
+	s := p.survey(r, candidates)
+	plan := newPlan(p.MaxChoices)
+	p.addWarm(&plan, r, s)
+	s.addRendezvous(&plan)
+	p.addLeastLoaded(&plan, s)
+	return plan.choices
+}
+
+func (p *planner) addWarm(plan *plan, r Request, s *survey) {
+	if c := s.warm; c != nil && p.keepsWarm(c, r.WarmTokens, s.minWait) {
+		plan.add(c.Backend, ReasonWarm)
+	}
+	if float64(r.IndexedTokens) < p.IndexShare*float64(r.PromptTokens) {
+		return
+	}
+	if c := s.indexed; c != nil && p.keepsWarm(c, r.IndexedTokens, s.minWait) {
+		plan.add(c.Backend, ReasonIndex)
+	}
+}
+
+// keepsWarm weighs the wait at a warm backend server against the prefill that
+// a cold one would have to do.
+func (p *planner) keepsWarm(c *Candidate, tokens int, minWait time.Duration) bool {
+	saved := time.Duration(tokens) * p.PrefillPerToken
+	return c.open() || p.wait(c)-minWait <= saved
+}
+
+// addLeastLoaded fills the plan with winners of two random draws each.
+func (p *planner) addLeastLoaded(plan *plan, s *survey) {
+	pool, reason := s.open, ReasonLeastLoaded
+	if len(pool) == 0 {
+		pool, reason = s.full, ReasonLastResort
+	}
+	if len(pool) == 0 {
+		return
+	}
+	// A draw may repeat a choice; a few more draws than free places suffice.
+	for draws := 2 * p.MaxChoices; draws > 0 && !plan.full(); draws-- {
+		plan.add(p.lighterOfTwo(pool).Backend, reason)
+	}
+}
+
+func (p *planner) lighterOfTwo(pool []*Candidate) *Candidate {
+	a := pool[p.IntN(len(pool))]
+	if len(pool) == 1 {
+		return a
+	}
+	b := pool[p.IntN(len(pool))]
+	if b.relativeLoad() < a.relativeLoad() {
+		return b
+	}
+	return a
+}
+
+// wait estimates the time in the queue of a backend server.
+func (p *planner) wait(c *Candidate) time.Duration {
+	if c.open() {
+		return 0
+	}
+	bound := c.bound()
+	if bound <= 0 {
+		return math.MaxInt64
+	}
+	ahead := float64(c.InFlight+c.Queued) - bound + 1
+	return time.Duration(ahead * float64(p.MeanService) / bound)
+}
+
+// survey sorts the candidates of one plan.
+type survey struct {
+	warm, indexed *Candidate
+	open          []*Candidate // below the bound
+	full          []*Candidate // at or above the bound
+	minWait       time.Duration
+	first         uint64        // highest rendezvous score, open or not
+	ordered       [2]rendezvous // highest open ones, in order
+	hasKey        bool
+}
+
+type rendezvous struct {
+	candidate *Candidate
+	score     uint64
+}
+
+func (p *planner) survey(r Request, candidates []Candidate) *survey {
+	s := &survey{
+		minWait: math.MaxInt64,
+		hasKey:  r.ChatKey != "",
+		open:    make([]*Candidate, 0, len(candidates)),
+	}
+	keyHash := xxhash.Sum64String(r.ChatKey)
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Leaving || (r.Excluded != nil && r.Excluded(c.Backend)) {
+			continue
+		}
+		s.minWait = min(s.minWait, p.wait(c))
+		s.note(r, c)
+		if s.hasKey {
+			s.rank(c, score(keyHash, c.Backend))
+		}
+	}
+	return s
+}
+
+func (s *survey) note(r Request, c *Candidate) {
+	if c.Backend == r.Warm {
+		s.warm = c
+	}
+	if c.Backend == r.Indexed {
+		s.indexed = c
+	}
+	if c.open() {
+		s.open = append(s.open, c)
+	} else {
+		s.full = append(s.full, c)
+	}
+}
+
+// rank keeps the open candidates with the highest scores.
+func (s *survey) rank(c *Candidate, score uint64) {
+	s.first = max(s.first, score)
+	if !c.open() {
+		return
+	}
+	entry := rendezvous{c, score}
+	for i := range s.ordered {
+		if s.ordered[i].candidate == nil || s.ordered[i].score < entry.score {
+			s.ordered[i], entry = entry, s.ordered[i]
+		}
+		if entry.candidate == nil {
+			return
+		}
+	}
+}
+
+func (s *survey) addRendezvous(plan *plan) {
+	for _, e := range s.ordered[:rendezvousChoices] {
+		if e.candidate == nil {
+			return
+		}
+		reason := ReasonSpill
+		if e.score == s.first {
+			reason = ReasonRendezvous
+		}
+		plan.add(e.candidate.Backend, reason)
+	}
+}
+
+// plan is a bounded list of distinct choices.
+type plan struct{ choices []Choice }
+
+func newPlan(size int) plan { return plan{make([]Choice, 0, size)} }
+
+func (p *plan) full() bool { return len(p.choices) == cap(p.choices) }
+
+// add appends a choice unless the plan is full or names the backend server.
+func (p *plan) add(backend string, reason Reason) {
+	if p.full() {
+		return
+	}
+	for _, c := range p.choices {
+		if c.Backend == backend {
+			return
+		}
+	}
+	p.choices = append(p.choices, Choice{backend, reason})
+}
+
+// bound is the load below which the candidate takes more work.
+func (c *Candidate) bound() float64 { return float64(c.Limit) * c.Weight }
+
+// open tells whether the candidate is below its bound. One whose load is not
+// known counts as open, since its home decides on exact counts anyway.
+func (c *Candidate) open() bool {
+	return !c.Known || float64(c.InFlight+c.Queued) < c.bound()
+}
+
+// relativeLoad is the load as a fraction of the bound. One whose load is not
+// known ranks behind every open one that is.
+func (c *Candidate) relativeLoad() float64 {
+	if !c.Known {
+		return 1
+	}
+	bound := c.bound()
+	if bound <= 0 {
+		return math.Inf(1)
+	}
+	return float64(c.InFlight+c.Queued) / bound
+}
