--- a/fleet/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package fleet is part of cassialatch.
-package fleet
--- /dev/null
+++ b/fleet/entry/service.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+
+	"cassialatch.dev/config/dynamic"
+	"cassialatch.dev/fleet/forward"
+	"cassialatch.dev/fleet/placement"
+	"cassialatch.dev/fleet/router"
+	"cassialatch.dev/outcome"
+	"cassialatch.dev/wire/peerpb"
+)
+
+// plain serves one call of a plain service.
+func (s *Server) plain(c *call) error {
+	name := c.r.PathValue("service")
+	service, known := c.config.Services[name]
+	if !known || !slices.Contains(c.workspace.Services, name) {
+		return outcome.NewNotRun(outcome.CodeUnknownService, "service is not open to the workspace")
+	}
+	body, err := s.readBody(c)
+	if err != nil {
+		return err
+	}
+	path := "/" + c.r.PathValue("path")
+	rule := ruleOf(service, c.r.Method, path)
+	if rule.Class != "" {
+		c.class = rule.Class
+	}
+	start := s.startPlain(c, service, path, rule)
+	if rule.Idempotent || s.repeatable(c, service) {
+		return s.routePlain(c, start, body)
+	}
+	start.Ticket = c.r.Header.Get(outcome.HeaderTicket)
+	if start.Ticket == "" {
+		c.w.Header().Set(outcome.HeaderTicket, s.ticket())
+		return outcome.NewNotRun(outcome.CodeTicketRequired, "call may not be repeated: send it with the ticket of this answer")
+	}
+	return s.opts.Executor.Submit(c.r.Context(), start, body, c.sink)
+}
+
+// repeatable reports whether the service's backend servers themselves refuse a
+// second run, by the caller's key.
+func (s *Server) repeatable(c *call, service *dynamic.Service) bool {
+	return service.ChecksKey && c.r.Header.Get(outcome.HeaderKey) != ""
+}
+
+// routePlain runs a call that needs no ticket.
+func (s *Server) routePlain(c *call, start *peerpb.ForwardStart, body []byte) error {
+	start.Idempotent = true
+	return s.opts.Router.Route(c.r.Context(), router.Request{
+		Start: start,
+		Body:  body,
+		Place: placement.Request{ChatKey: c.id, Class: c.class},
+	}, c.sink)
+}
+
+// startPlain describes a call of a plain service to the home.
+func (s *Server) startPlain(c *call, service *dynamic.Service, path string, rule dynamic.Rule) *peerpb.ForwardStart {
+	deadline := deadlineOf(c.r, service.Deadline, c.workspace.Deadline)
+	if query := c.r.URL.RawQuery; query != "" {
+		path += "?" + query
+	}
+	return &peerpb.ForwardStart{
+		RequestId:  c.id,
+		Service:    service.Name,
+		Workspace:  c.workspace.Name,
+		Class:      string(c.class),
+		DeadlineMs: uint32(deadline.Milliseconds()),
+		Method:     c.r.Method,
+		Path:       path,
+		Headers:    forward.EncodeHeader(c.r.Header, ownHeaders...),
+		Idempotent: rule.Idempotent,
+		Cost:       1,
+		Priority:   int32(c.workspace.Priority),
+		Weight:     uint32(c.workspace.Weight),
+	}
+}
+
+// ruleOf returns the first rule that matches a call. Without one, only GET and
+// HEAD are idempotent.
+func ruleOf(service *dynamic.Service, method, path string) dynamic.Rule {
+	for _, rule := range service.Rules {
+		if !strings.HasPrefix(path, rule.Prefix) {
+			continue
+		}
+		if len(rule.Methods) == 0 || slices.Contains(rule.Methods, method) {
+			return rule
+		}
+	}
+	return dynamic.Rule{Idempotent: method == http.MethodGet || method == http.MethodHead}
+}
--- /dev/null
+++ b/fleet/loadtable/loadtable.go
@@ -0,0 +1,141 @@
+// Package loadtable keeps what homes say about the load of backend servers.
+// An entry is replaced only by a newer one of the same home incarnation, and
+// forgotten when it gets old.
+package loadtable
+
+import (
+	"sync"
+	"time"
+
+	"cassialatch.dev/wire/peerpb"
+)
+
+// account names one home incarnation.
+type account struct {
+	home        string
+	incarnation uint64
+}
+
+// Entry is the latest account by one home.
+type Entry struct {
+	Load *peerpb.BackendLoad
+	At   time.Time // when the home counted, by this daemon's clock
+}
+
+// Table holds the latest account of each home. It is safe for concurrent use.
+type Table struct {
+	keep time.Duration
+	now  func() time.Time
+
+	mu      sync.Mutex
+	entries map[string]map[account]Entry // by backend server
+}
+
+// New returns a Table that keeps entries for the given time.
+func New(keep time.Duration, now func() time.Time) *Table {
+	return &Table{keep: keep, now: now, entries: make(map[string]map[account]Entry)}
+}
+
+// Merge takes accounts that were heard.
+func (t *Table) Merge(loads []*peerpb.BackendLoad) {
+	now := t.now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, load := range loads {
+		t.mergeLocked(load, now)
+	}
+}
+
+// mergeLocked takes one account when it is newer. The caller holds t.mu.
+func (t *Table) mergeLocked(load *peerpb.BackendLoad, now time.Time) {
+	age := time.Duration(load.AgeMs) * time.Millisecond
+	if age > t.keep {
+		return
+	}
+	by := account{load.Home, load.Incarnation}
+	of := t.entries[load.Backend]
+	if of == nil {
+		of = make(map[account]Entry)
+		t.entries[load.Backend] = of
+	}
+	if old, ok := of[by]; ok && old.Load.Seq >= load.Seq {
+		return
+	}
+	of[by] = Entry{Load: load, At: now.Add(-age)}
+}
+
+// Of returns all accounts of one backend server that are not too old.
+func (t *Table) Of(backend string) []Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.freshLocked(backend, t.now())
+}
+
+// freshLocked returns the accounts of one backend server and forgets those
+// that are too old. The caller holds t.mu.
+func (t *Table) freshLocked(backend string, now time.Time) []Entry {
+	of := t.entries[backend]
+	fresh := make([]Entry, 0, len(of))
+	for by, e := range of {
+		if now.Sub(e.At) >= t.keep {
+			delete(of, by)
+			continue
+		}
+		fresh = append(fresh, e)
+	}
+	if len(of) == 0 {
+		delete(t.entries, backend)
+	}
+	return fresh
+}
+
+// All returns the accounts of all backend servers that are not too old.
+func (t *Table) All() []Entry {
+	now := t.now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var all []Entry
+	for backend := range t.entries {
+		all = append(all, t.freshLocked(backend, now)...)
+	}
+	return all
+}
+
+// Summary joins the accounts of one backend server.
+type Summary struct {
+	Known    bool
+	InFlight int    // over all homes
+	Queued   int    // over all homes
+	Limit    int    // of the newest account
+	Home     string // of the newest account
+	Weight   float64
+	Leaving  bool // said by any home
+	At       time.Time
+}
+
+// fullWeight is the weight of a backend server that is not slow, in permille.
+const fullWeight = 1000
+
+// Summaries returns the joined accounts by backend server.
+func (t *Table) Summaries() map[string]Summary {
+	sums := make(map[string]Summary)
+	for _, e := range t.All() {
+		sums[e.Load.Backend] = sums[e.Load.Backend].add(e)
+	}
+	return sums
+}
+
+// add joins one account to the summary.
+func (s Summary) add(e Entry) Summary {
+	s.InFlight += int(e.Load.InFlight)
+	s.Queued += int(e.Load.Queued)
+	s.Leaving = s.Leaving || e.Load.Leaving
+	if !s.Known || e.At.After(s.At) {
+		s.Known = true
+		s.At = e.At
+		s.Limit = int(e.Load.Limit)
+		s.Home = e.Load.Home
+		s.Weight = float64(e.Load.WeightPermille) / fullWeight
+	}
+	return s
+}
--- /dev/null
+++ b/fleet/router/router.go
@@ -0,0 +1,205 @@
+// Package router plans where a request runs and hands it to the home of the
+// chosen backend server. The plan rests on figures that are some time old;
+// the home decides on exact counts, and the router plans again without the
+// backend servers whose homes refused.
+package router
+
+import (
+	"context"
+	"time"
+
+	"cassialatch.dev/config/dynamic"
+	"cassialatch.dev/fleet/forward"
+	"cassialatch.dev/fleet/loadtable"
+	"cassialatch.dev/fleet/member"
+	"cassialatch.dev/fleet/placement"
+	"cassialatch.dev/fleet/retry"
+	"cassialatch.dev/outcome"
+	"cassialatch.dev/wire/peerpb"
+	"cassialatch.dev/wire/platformapi"
+)
+
+// maxAttempts bounds how often one request is planned.
+const maxAttempts = 4
+
+// defaultRetryAfter is advised when no home gave better advice.
+const defaultRetryAfter = time.Second
+
+// Peers runs requests at other daemons.
+type Peers interface {
+	// To returns the Executor of the daemon with a peer address.
+	To(address string) forward.Executor
+}
+
+// Options configure a Router.
+type Options struct {
+	SelfID    string
+	Directory *member.Directory
+	Loads     *loadtable.Table
+	Planner   placement.Planner
+	Local     forward.Executor // the home of this daemon
+	Peers     Peers
+	Retries   *retry.Budget
+}
+
+// Router places requests. It is safe for concurrent use.
+type Router struct {
+	opts Options
+}
+
+// New returns a Router.
+func New(opts Options) *Router { return &Router{opts: opts} }
+
+// Request is a request to place.
+type Request struct {
+	Start *peerpb.ForwardStart // all but the backend server
+	Body  []byte
+	Place placement.Request
+}
+
+// Route runs a request on a backend server of its service.
+func (r *Router) Route(ctx context.Context, req Request, sink forward.Sink) error {
+	r.opts.Retries.Fresh()
+	attempt := &attempt{router: r, req: req, sink: &startedSink{Sink: sink}, excluded: make(map[string]bool)}
+	var last error
+	for range maxAttempts {
+		choice, ok := attempt.plan()
+		if !ok {
+			break
+		}
+		err := attempt.run(ctx, choice)
+		if err == nil {
+			return nil
+		}
+		last = err
+		if !attempt.again(ctx, err) {
+			return err
+		}
+		attempt.excluded[choice.Backend] = true
+	}
+	if last != nil {
+		return last
+	}
+	return outcome.NewNotRun(outcome.CodeNoBackend, "no backend server can take the request").WithRetryAfter(defaultRetryAfter)
+}
+
+// attempt is the work on one request.
+type attempt struct {
+	router   *Router
+	req      Request
+	sink     *startedSink
+	excluded map[string]bool
+}
+
+// plan returns the best backend server that has not refused.
+func (a *attempt) plan() (placement.Choice, bool) {
+	place := a.req.Place
+	place.Excluded = func(backend string) bool { return a.excluded[backend] }
+	choices := a.router.Plan(a.req.Start.Service, place)
+	if len(choices) == 0 {
+		return placement.Choice{}, false
+	}
+	return choices[0], true
+}
+
+// run hands the request to the home of a backend server.
+func (a *attempt) run(ctx context.Context, choice placement.Choice) error {
+	start := cloneStart(a.req.Start)
+	start.Backend = choice.Backend
+	executor, err := a.router.homeOf(choice.Backend)
+	if err != nil {
+		return err
+	}
+	return executor.Execute(ctx, start, a.req.Body, a.sink)
+}
+
+// again reports whether the request may be tried on another backend server: a
+// request that has not run always, one that may have run only when it is
+// idempotent, nothing of its answer has been passed on and the budget allows.
+func (a *attempt) again(ctx context.Context, err error) bool {
+	e := outcome.From(err)
+	if !e.Replan || ctx.Err() != nil || a.sink.started {
+		return false
+	}
+	if e.Outcome == outcome.NotRun {
+		return true
+	}
+	return a.req.Start.Idempotent && a.router.opts.Retries.Allow()
+}
+
+// homeOf returns the Executor of a backend server's home.
+func (r *Router) homeOf(backend string) (forward.Executor, error) {
+	home, ok := r.opts.Directory.Home(backend)
+	switch {
+	case !ok:
+		return nil, outcome.NewNotRun(outcome.CodeNotHome, "no home is known").WithReplan()
+	case home.ID == r.opts.SelfID:
+		return r.opts.Local, nil
+	default:
+		return r.opts.Peers.To(home.Peer), nil
+	}
+}
+
+// Plan returns the backend servers of a service worth trying, best first.
+func (r *Router) Plan(service string, place placement.Request) []placement.Choice {
+	return r.opts.Planner.Plan(place, r.Candidates(service))
+}
+
+// Candidates returns what is known of a service's backend servers.
+func (r *Router) Candidates(service string) []placement.Candidate {
+	sums := r.opts.Loads.Summaries()
+	servers := r.opts.Directory.Servers(service)
+	candidates := make([]placement.Candidate, 0, len(servers))
+	for _, server := range servers {
+		sum := sums[server.ID]
+		candidate := placement.Candidate{
+			Backend:  server.ID,
+			Zone:     server.Zone,
+			Known:    sum.Known,
+			InFlight: sum.InFlight,
+			Queued:   sum.Queued,
+			Limit:    sum.Limit,
+			Weight:   1,
+			Leaving:  sum.Leaving || server.State == platformapi.StateLeaving,
+		}
+		if sum.Known {
+			candidate.Weight = sum.Weight
+		}
+		candidates = append(candidates, candidate)
+	}
+	return candidates
+}
+
+// Class returns the class of a start.
+func Class(start *peerpb.ForwardStart) dynamic.Class { return dynamic.Class(start.Class) }
+
+// startedSink remembers whether any part of an answer was passed on.
+type startedSink struct {
+	forward.Sink
+	started bool
+}
+
+// Head implements forward.Sink.
+func (s *startedSink) Head(head forward.Head) error {
+	s.started = true
+	return s.Sink.Head(head)
+}
+
+// cloneStart copies a start, so that attempts do not share a message.
+func cloneStart(start *peerpb.ForwardStart) *peerpb.ForwardStart {
+	return &peerpb.ForwardStart{
+		RequestId:   start.RequestId,
+		Service:     start.Service,
+		Workspace:   start.Workspace,
+		Class:       start.Class,
+		DeadlineMs:  start.DeadlineMs,
+		Method:      start.Method,
+		Path:        start.Path,
+		Headers:     start.Headers,
+		Idempotent:  start.Idempotent,
+		Cost:        start.Cost,
+		Fingerprint: start.Fingerprint,
+		Priority:    start.Priority,
+		Weight:      start.Weight,
+	}
+}
