config/setting: strict reader of the static settings

Cause: a daemon needs its settings, and an operator all mistakes of a file at once, each with file, line and key. Ruled out: decoding into structs with go-toml's strict mode. It stops at the first wrong type and knows no line for a missing key, so several mistakes need several runs. Viper and the like: more than is needed, and lenient. Change: config/problem holds the typed errors; config/internal/document builds a tree with lines from go-toml's parser and reads typed values from it; config/setting reads the settings, with defaults for all but identity, addresses, TLS mode and keys. A secret never stands in a problem's text. Before: no reader.

--- /dev/null
+++ b/config/internal/document/node.go
@@ -0,0 +1,213 @@
+package document
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+
+	"cassialatch.dev/config/problem"
+)
+
+type kind string
+
+const (
+	kindTable      kind = "a table"
+	kindTableArray kind = "an array of tables"
+	kindArray      kind = "an array"
+	kindString     kind = "a string"
+	kindInteger    kind = "an integer"
+	kindFloat      kind = "a number"
+	kindBool       kind = "a boolean"
+	kindTime       kind = "a date or time"
+)
+
+// node is a value of the tree.
+type node struct {
+	name     string // last part of path
+	path     string // dotted
+	line     int
+	kind     kind
+	closed   bool   // tables: defined already, so a second header is a duplicate
+	text     string // scalars: the value
+	children []*node
+	index    map[string]*node
+	items    []*node // arrays
+	read     bool
+}
+
+func (n *node) child(name string) *node { return n.index[name] }
+
+func (n *node) add(c *node) *node {
+	if n.index == nil {
+		n.index = make(map[string]*node)
+	}
+	n.index[c.name] = c
+	n.children = append(n.children, c)
+	return c
+}
+
+func newChild(parent *node, name string, line int, k kind) *node {
+	return &node{name: name, path: joinPath(parent.path, name), line: line, kind: k}
+}
+
+// joinPath appends a key to a dotted path and quotes it where TOML would.
+func joinPath(path, name string) string {
+	if !isBareKey(name) {
+		name = strconv.Quote(name)
+	}
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func isBareKey(s string) bool {
+	return s != "" && strings.IndexFunc(s, func(r rune) bool {
+		return !(r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '-' || r == '_')
+	}) < 0
+}
+
+type keyPart struct {
+	name string
+	line int
+}
+
+func (d *Document) keyParts(it unstable.Iterator) []keyPart {
+	var parts []keyPart
+	for it.Next() {
+		k := it.Node()
+		parts = append(parts, keyPart{name: string(k.Data), line: d.lineAt(int(k.Raw.Offset))})
+	}
+	return parts
+}
+
+func (d *Document) reportDuplicate(n *node, line int) {
+	d.Report(line, n.path, problem.Duplicate, "one definition", "a second one; the first is on line "+strconv.Itoa(n.line))
+}
+
+// descend returns the table that a part of a dotted key leads to.
+func (d *Document) descend(parent *node, part keyPart) *node {
+	c := parent.child(part.name)
+	if c == nil {
+		return parent.add(newChild(parent, part.name, part.line, kindTable))
+	}
+	if c.kind == kindTableArray {
+		return c.items[len(c.items)-1]
+	}
+	if c.kind != kindTable {
+		d.reportDuplicate(c, part.line)
+		return newChild(parent, part.name, part.line, kindTable)
+	}
+	return c
+}
+
+func (d *Document) openTable(e *unstable.Node) *node {
+	parts := d.keyParts(e.Key())
+	parent := d.root
+	for _, part := range parts[:len(parts)-1] {
+		parent = d.descend(parent, part)
+	}
+	last := parts[len(parts)-1]
+	c := parent.child(last.name)
+	if c == nil {
+		c = parent.add(newChild(parent, last.name, last.line, kindTable))
+	} else if c.kind != kindTable || c.closed {
+		d.reportDuplicate(c, last.line)
+		if c.kind != kindTable {
+			return newChild(parent, last.name, last.line, kindTable)
+		}
+	} else {
+		c.line = last.line
+	}
+	c.closed = true
+	return c
+}
+
+func (d *Document) openArrayTable(e *unstable.Node) *node {
+	parts := d.keyParts(e.Key())
+	parent := d.root
+	for _, part := range parts[:len(parts)-1] {
+		parent = d.descend(parent, part)
+	}
+	last := parts[len(parts)-1]
+	array := parent.child(last.name)
+	if array == nil {
+		array = parent.add(newChild(parent, last.name, last.line, kindTableArray))
+	}
+	if array.kind != kindTableArray {
+		d.reportDuplicate(array, last.line)
+		return newChild(parent, last.name, last.line, kindTable)
+	}
+	return addItem(array, &node{line: last.line, kind: kindTable, closed: true})
+}
+
+func addItem(array, item *node) *node {
+	item.name = "[" + strconv.Itoa(len(array.items)) + "]"
+	item.path = array.path + item.name
+	array.items = append(array.items, item)
+	return item
+}
+
+func (d *Document) addKeyValue(table *node, e *unstable.Node) {
+	parts := d.keyParts(e.Key())
+	for _, part := range parts[:len(parts)-1] {
+		table = d.descend(table, part)
+		table.closed = true
+	}
+	last := parts[len(parts)-1]
+	if c := table.child(last.name); c != nil {
+		d.reportDuplicate(c, last.line)
+		return
+	}
+	c := table.add(newChild(table, last.name, last.line, kindTable))
+	d.fill(c, e.Value())
+}
+
+// fill sets a node's value from the parser's.
+func (d *Document) fill(n *node, value *unstable.Node) {
+	n.text = string(value.Data)
+	switch value.Kind {
+	case unstable.String:
+		n.kind = kindString
+	case unstable.Integer:
+		n.kind = kindInteger
+	case unstable.Float:
+		n.kind = kindFloat
+	case unstable.Bool:
+		n.kind = kindBool
+	case unstable.Array:
+		n.kind = kindArray
+		d.fillArray(n, value)
+	case unstable.InlineTable:
+		n.kind, n.closed, n.text = kindTable, true, ""
+		d.fillTable(n, value)
+	default:
+		n.kind = kindTime
+	}
+}
+
+func (d *Document) fillArray(n *node, value *unstable.Node) {
+	n.text = ""
+	it := value.Children()
+	for it.Next() {
+		v := it.Node()
+		if v.Kind == unstable.Comment {
+			continue
+		}
+		line := n.line
+		if v.Raw.Length > 0 {
+			line = d.lineAt(int(v.Raw.Offset))
+		}
+		d.fill(addItem(n, &node{line: line}), v)
+	}
+}
+
+func (d *Document) fillTable(n *node, value *unstable.Node) {
+	it := value.Children()
+	for it.Next() {
+		if it.Node().Kind == unstable.KeyValue {
+			d.addKeyValue(n, it.Node())
+		}
+	}
+}
