--- /dev/null
+++ b/standin/platform/load.go
@@ -0,0 +1,52 @@
+package platform
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"cassialatch.dev/wire/platformapi"
+	"github.com/cockroachdb/errors"
+)
+
+// LoadDir publishes the files of a directory: base.toml, each site-NAME.toml
+// as the document site/NAME, and vms.json, an array of VMs.
+func (p *Platform) LoadDir(dir string) error {
+	if err := p.loadDocument(filepath.Join(dir, "base.toml"), platformapi.DocumentBase); err != nil {
+		return err
+	}
+	overlays, err := filepath.Glob(filepath.Join(dir, "site-*.toml"))
+	if err != nil {
+		return errors.Wrap(err, "list overlays")
+	}
+	for _, file := range overlays {
+		site := strings.TrimSuffix(strings.TrimPrefix(filepath.Base(file), "site-"), ".toml")
+		if err := p.loadDocument(file, platformapi.DocumentSitePrefix+site); err != nil {
+			return err
+		}
+	}
+	return p.loadVMs(filepath.Join(dir, "vms.json"))
+}
+
+func (p *Platform) loadDocument(file, name string) error {
+	body, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Wrap(err, "read document")
+	}
+	p.PutDocument(name, string(body), 1)
+	return nil
+}
+
+func (p *Platform) loadVMs(file string) error {
+	body, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Wrap(err, "read VM list")
+	}
+	var vms []platformapi.VM
+	if err := json.Unmarshal(body, &vms); err != nil {
+		return errors.Wrapf(err, "parse %s", file)
+	}
+	p.PutVMs(vms)
+	return nil
+}
