--- a/config/setting/setting.go
+++ b/config/setting/setting.go
@@ -62,6 +62,7 @@
 	PeerTimeout    time.Duration // a peer not heard for this long is taken as dead
 	LeaseDuration  time.Duration // of one lent share
 	MaxPeers       int           // most peers that heartbeats go to
+	Seeds          []string      // peer addresses tried while no VM list is known
 }
 
 // Limits bound what one caller may ask of the daemon.
--- /dev/null
+++ b/fleet/heartbeat/sender.go
@@ -0,0 +1,216 @@
+package heartbeat
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"cassialatch.dev/fleet/placement"
+	"cassialatch.dev/wire/peerpb"
+)
+
+// callTimeout bounds one heartbeat, beyond its interval.
+const callTimeout = time.Second
+
+// Caller calls peers.
+type Caller interface {
+	Heartbeat(ctx context.Context, address string, req *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error)
+	FetchDocument(ctx context.Context, address, name string) (*peerpb.Document, error)
+}
+
+// Run sends heartbeats until ctx ends, with one goroutine for each peer.
+func (x *Exchange) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	loops := make(map[string]context.CancelFunc)
+	for ctx.Err() == nil {
+		addresses := x.addresses()
+		for _, address := range addresses {
+			if _, runs := loops[address]; runs {
+				continue
+			}
+			loopCtx, cancel := context.WithCancel(ctx)
+			loops[address] = cancel
+			wg.Go(func() { x.follow(loopCtx, address) })
+		}
+		for address, cancel := range loops {
+			if !slices.Contains(addresses, address) {
+				cancel()
+				delete(loops, address)
+			}
+		}
+		x.opts.Home.Tick()
+		sleep(ctx, x.opts.Interval/2)
+	}
+	for _, cancel := range loops {
+		cancel()
+	}
+	wg.Wait()
+}
+
+// addresses returns the peers to send heartbeats to: all while they are few.
+// In a larger fleet: the lenders of the backend servers that this daemon is or
+// may become home of, then others in rendezvous order.
+func (x *Exchange) addresses() []string {
+	published := make(map[string]string) // address by id
+	for _, daemon := range x.opts.Directory.Daemons() {
+		if daemon.ID != x.opts.Self.Id {
+			published[daemon.ID] = daemon.Peer
+		}
+	}
+	if len(published) == 0 {
+		return x.opts.Seeds
+	}
+	ids := make([]string, 0, len(published))
+	for id := range published {
+		ids = append(ids, id)
+	}
+	if len(ids) > x.opts.MaxPeers {
+		ids = x.closest(ids)
+	}
+	addresses := make([]string, 0, len(ids))
+	for _, id := range ids {
+		addresses = append(addresses, published[id])
+	}
+	return addresses
+}
+
+// closest returns the peers that matter most to this daemon. All that lend it
+// shares are among them, also above MaxPeers.
+func (x *Exchange) closest(ids []string) []string {
+	lenders := make(map[string]struct{})
+	for _, server := range x.opts.Directory.Servers("") {
+		group := x.opts.Directory.Group(server.ID)
+		if home, ok := x.opts.Directory.Home(server.ID); !ok || home.ID != x.opts.Self.Id {
+			continue
+		}
+		for _, id := range group {
+			lenders[id] = struct{}{}
+		}
+	}
+	ordered := placement.Order(x.opts.Self.Id, ids)
+	chosen := make([]string, 0, x.opts.MaxPeers)
+	for _, id := range ordered {
+		if _, lends := lenders[id]; lends {
+			chosen = append(chosen, id)
+		}
+	}
+	for _, id := range ordered {
+		if _, lends := lenders[id]; !lends && len(chosen) < x.opts.MaxPeers {
+			chosen = append(chosen, id)
+		}
+	}
+	return chosen
+}
+
+// follow sends heartbeats to one address until ctx ends.
+func (x *Exchange) follow(ctx context.Context, address string) {
+	var seq uint64
+	var peerID string
+	for ctx.Err() == nil {
+		seq++
+		id, err := x.beat(ctx, address, peerID, seq)
+		if err == nil {
+			peerID = id
+		}
+		x.asked.note(address)
+		sleep(ctx, x.opts.Interval*3/4+rand.N(x.opts.Interval/2))
+	}
+}
+
+// beat sends one heartbeat and returns the peer's id. Claims go only to a peer
+// whose id is known.
+func (x *Exchange) beat(ctx context.Context, address, peerID string, seq uint64) (string, error) {
+	req := &peerpb.HeartbeatRequest{
+		From:        x.opts.Self,
+		Seq:         seq,
+		Draining:    x.opts.Directory.Draining(),
+		Claims:      x.opts.Home.Claims(peerID),
+		Loads:       x.opts.Home.Loads(),
+		Quarantined: x.opts.Quarantine.Export(maxQuarantined),
+		Documents:   x.versions(),
+		Released:    x.opts.Home.Released(),
+	}
+	for _, backend := range req.Released {
+		// From here on the peer may lend its share to another holder.
+		x.opts.Shares.Refused(backend, peerID)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sent := x.opts.Now()
+	resp, err := x.opts.Peers.Heartbeat(callCtx, address, req)
+	if err != nil {
+		return "", err
+	}
+	x.opts.Directory.Heard(resp.From, resp.Draining)
+	x.opts.Loads.Merge(resp.Loads)
+	x.opts.Quarantine.Import(resp.Quarantined)
+	x.noteGrants(resp, sent)
+	x.fetchNewer(ctx, address, resp.Documents)
+	return resp.From.Id, nil
+}
+
+// noteGrants counts the shares that a peer lent or refused.
+func (x *Exchange) noteGrants(resp *peerpb.HeartbeatResponse, sent time.Time) {
+	for _, grant := range resp.Grants {
+		if grant.DurationMs == 0 {
+			x.opts.Shares.Refused(grant.Backend, resp.From.Id)
+			continue
+		}
+		duration := time.Duration(grant.DurationMs) * time.Millisecond
+		x.opts.Shares.Granted(grant.Backend, resp.From.Id, sent, duration, int(grant.GroupSize))
+		x.opts.Home.Kick(grant.Backend)
+	}
+}
+
+// fetchNewer takes documents of which a peer holds a higher version.
+func (x *Exchange) fetchNewer(ctx context.Context, address string, theirs []*peerpb.DocumentVersion) {
+	ours := x.versions()
+	for _, their := range theirs {
+		if !newer(their, ours) {
+			continue
+		}
+		doc, err := x.opts.Peers.FetchDocument(ctx, address, their.Name)
+		if err == nil {
+			err = x.take(doc)
+		}
+		if err != nil {
+			x.opts.Log.Warn().Err(err).Str("document", their.Name).Msg("document of a peer not taken")
+		}
+	}
+}
+
+// newer reports whether a version is above ours. A document that is not known
+// here, such as another site's overlay, is of no use.
+func newer(their *peerpb.DocumentVersion, ours []*peerpb.DocumentVersion) bool {
+	for _, our := range ours {
+		if our.Name == their.Name {
+			return their.Version > our.Version
+		}
+	}
+	return false
+}
+
+// AskedAll reports whether each peer has been asked at least once since the
+// VM list is known, so that no peer holds a configuration that this daemon
+// could have learned and has not.
+func (x *Exchange) AskedAll() bool {
+	if x.opts.Directory.ListVersion() == 0 {
+		return false
+	}
+	for _, address := range x.addresses() {
+		if !x.asked.has(address) {
+			return false
+		}
+	}
+	return true
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/fleet/home/home.go
+++ b/fleet/home/home.go
@@ -36,6 +36,9 @@
 	Observer   Observer
 }
 
+// releaseRepeat is how long a release is repeated to lenders.
+const releaseRepeat = 3 * time.Second
+
 // Observer hears what a home does; see package metric.
 type Observer interface {
 	QueueWait(workspace string, class dynamic.Class, d time.Duration)
@@ -48,15 +51,20 @@
 
 	mu       sync.Mutex
 	runners  map[string]*runner
-	released []string // backend servers given up since the last Released
-	seq      uint64   // of load accounts
+	released map[string]time.Time // backend servers given up, and when
+	seq      uint64               // of load accounts
 
 	polls sync.WaitGroup
 }
 
 // New returns a Home whose report loops end with ctx.
 func New(ctx context.Context, opts Options) *Home {
-	return &Home{opts: opts, ctx: ctx, runners: make(map[string]*runner)}
+	return &Home{
+		opts:     opts,
+		ctx:      ctx,
+		runners:  make(map[string]*runner),
+		released: make(map[string]time.Time),
+	}
 }
 
 // Wait waits for the report loops to end.
@@ -133,7 +141,7 @@
 	n.queue.Flush(n.closedError())
 	h.opts.Shares.Drop(n.vm.ID)
 	h.opts.Lender.Release(n.vm.ID, h.opts.Self)
-	h.released = append(h.released, n.vm.ID)
+	h.released[n.vm.ID] = h.opts.Now()
 }
 
 // dropUnlisted gives up backend servers that are no longer in the VM list.
@@ -231,18 +239,23 @@
 	}
 }
 
-// Released returns the backend servers given up that are not homed now. Their
-// shares may be lent to others.
+// Released returns the backend servers given up of late that are not homed
+// now. Their shares may be lent to others. A lender that misses the message
+// lends the share when the lease has ended.
 func (h *Home) Released() []string {
+	now := h.opts.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var released []string
-	for _, id := range h.released {
-		if n := h.runners[id]; n == nil || !n.homed.Load() {
+	for id, at := range h.released {
+		n := h.runners[id]
+		switch {
+		case now.Sub(at) > releaseRepeat || n != nil && n.homed.Load():
+			delete(h.released, id)
+		default:
 			released = append(released, id)
 		}
 	}
-	h.released = released
 	return released
 }
 
--- /dev/null
+++ b/fleet/node/status.go
@@ -0,0 +1,199 @@
+package node
+
+import (
+	"strconv"
+	"time"
+
+	"cassialatch.dev/config/dynamic"
+	"cassialatch.dev/fleet/placement"
+	"cassialatch.dev/seal/chat"
+	"cassialatch.dev/wire/operatorapi"
+	"cassialatch.dev/wire/platformapi"
+)
+
+// hexadecimal is the base of identifiers that operators read.
+const hexadecimal = 16
+
+// Status implements operator.Node.
+func (n *Node) Status() operatorapi.Status {
+	return operatorapi.Status{
+		ID:          n.self.Id,
+		Zone:        n.self.Zone,
+		Site:        n.settings.Site,
+		Incarnation: strconv.FormatUint(n.self.Incarnation, hexadecimal),
+		Version:     n.opts.Version,
+		Ready:       n.Ready(),
+		Draining:    n.directory.Draining(),
+		InFlight:    n.entry.InFlight(),
+		Platform:    n.platformStatus(),
+		Documents:   n.documentStatus(),
+		Daemons:     n.daemonStatus(),
+		Backends:    n.backendStatus(),
+		Quarantined: n.quarantineStatus(),
+		Control:     n.meter.Snapshot(),
+	}
+}
+
+// platformStatus tells how the platform answers.
+func (n *Node) platformStatus() operatorapi.Platform {
+	health := n.watcher.Health()
+	status := operatorapi.Platform{
+		Reachable:  health.Reachable,
+		LastReadMs: sinceMs(health.LastRead),
+		VMListAt:   n.directory.ListVersion(),
+	}
+	if health.LastFailure != nil {
+		status.LastFailure = health.LastFailure.Error()
+	}
+	return status
+}
+
+// documentStatus tells which documents are in force and which were refused.
+func (n *Node) documentStatus() []operatorapi.Document {
+	var documents []operatorapi.Document
+	for _, held := range n.adopter.Documents() {
+		doc := operatorapi.Document{Name: held.Name, InForce: held.Version}
+		if held.Refused != nil {
+			doc.Refused = held.Refused.Version
+			doc.Reason = held.Refused.Reason.Error()
+		}
+		documents = append(documents, doc)
+	}
+	return documents
+}
+
+// daemonStatus tells how the other daemons are seen.
+func (n *Node) daemonStatus() []operatorapi.Daemon {
+	var daemons []operatorapi.Daemon
+	for _, d := range n.directory.Daemons() {
+		daemons = append(daemons, operatorapi.Daemon{
+			ID:       d.ID,
+			Zone:     d.Zone,
+			Address:  d.Address,
+			Alive:    d.Alive,
+			Draining: d.Draining,
+			HeardMs:  sinceMs(d.Heard),
+		})
+	}
+	return daemons
+}
+
+// backendStatus tells how the backend servers are seen.
+func (n *Node) backendStatus() []operatorapi.Backend {
+	sums := n.loads.Summaries()
+	var backends []operatorapi.Backend
+	for _, server := range n.directory.Servers("") {
+		sum := sums[server.ID]
+		status := operatorapi.Backend{
+			ID:       server.ID,
+			Service:  server.Service,
+			Zone:     server.Zone,
+			InFlight: sum.InFlight,
+			Queued:   sum.Queued,
+			Limit:    sum.Limit,
+			Weight:   sum.Weight,
+			Leaving:  sum.Leaving || server.State == platformapi.StateLeaving,
+			AgeMs:    sinceMs(sum.At),
+		}
+		if home, ok := n.directory.Home(server.ID); ok {
+			status.Home = home.ID
+		}
+		backends = append(backends, status)
+	}
+	return backends
+}
+
+// maxShownQuarantined bounds the fingerprints in a status.
+const maxShownQuarantined = 1000
+
+// quarantineStatus tells which requests are refused.
+func (n *Node) quarantineStatus() []operatorapi.Quarantine {
+	var shown []operatorapi.Quarantine
+	for _, q := range n.quarantine.Export(maxShownQuarantined) {
+		shown = append(shown, operatorapi.Quarantine{
+			Fingerprint: strconv.FormatUint(q.Fingerprint, hexadecimal),
+			Crashes:     int(q.Crashes),
+			ExpiresMs:   int64(q.TtlMs),
+		})
+	}
+	return shown
+}
+
+// Config implements operator.Node.
+func (n *Node) Config() (operatorapi.ConfigInForce, bool) {
+	config := n.adopter.Config()
+	if config == nil {
+		return operatorapi.ConfigInForce{}, false
+	}
+	inForce := operatorapi.ConfigInForce{
+		BaseVersion:    config.BaseVersion,
+		OverlayVersion: config.OverlayVersion,
+		TOML:           string(dynamic.Render(config)),
+	}
+	for _, inactive := range config.Inactive {
+		inForce.Inactive = append(inForce.Inactive, inactive.Key+": "+inactive.Reason)
+	}
+	return inForce, true
+}
+
+// Explain implements operator.Node.
+func (n *Node) Explain(workspace, model, token string) (operatorapi.Explanation, *operatorapi.Error) {
+	config := n.adopter.Config()
+	if config == nil {
+		return operatorapi.Explanation{}, &operatorapi.Error{Code: "no_configuration", Message: "no configuration is in force yet"}
+	}
+	ws, known := config.Workspaces[workspace]
+	if !known {
+		return operatorapi.Explanation{}, &operatorapi.Error{Code: "unknown_workspace", Message: "workspace is not in the configuration"}
+	}
+	if model == "" && len(ws.Models) > 0 {
+		model = ws.Models[0]
+	}
+	place := placement.Request{ChatKey: workspace, Class: ws.Class}
+	explanation := operatorapi.Explanation{Workspace: workspace, Model: model, Class: string(ws.Class)}
+	if opened, err := chat.Open(n.ring, token); token != "" && err == nil {
+		place.Warm = opened.Backend
+		place.WarmTokens = opened.Tokens
+		explanation.Warm = opened.Backend
+	} else if token != "" {
+		explanation.Refused = "chat token: " + err.Error()
+	}
+	explanation.Candidates = n.explainCandidates(model, place)
+	return explanation, nil
+}
+
+// explainCandidates returns the plan for a request with what it rests on.
+func (n *Node) explainCandidates(model string, place placement.Request) []operatorapi.Candidate {
+	sums := n.loads.Summaries()
+	var candidates []operatorapi.Candidate
+	for _, choice := range n.router.Plan(model, place) {
+		home, _ := n.directory.Home(choice.Backend)
+		sum := sums[choice.Backend]
+		candidates = append(candidates, operatorapi.Candidate{
+			Backend:  choice.Backend,
+			Home:     home.ID,
+			InFlight: sum.InFlight,
+			Limit:    sum.Limit,
+			Reason:   string(choice.Reason),
+		})
+	}
+	return candidates
+}
+
+// Drain implements operator.Node: it starts a graceful stop.
+func (n *Node) Drain() operatorapi.DrainResponse {
+	n.drainOnce.Do(func() {
+		n.log.Info().Int("in_flight", n.entry.InFlight()).Msg("draining")
+		n.directory.SetDraining()
+		close(n.drain)
+	})
+	return operatorapi.DrainResponse{InFlight: n.entry.InFlight() + int(n.forwarded.Load())}
+}
+
+// sinceMs returns the milliseconds since t, or -1 for never.
+func sinceMs(t time.Time) int64 {
+	if t.IsZero() {
+		return -1
+	}
+	return time.Since(t).Milliseconds()
+}
