standin: caller, scenarios and load command

Cause: the demo and later measurements need callers that choose addresses themselves, carry chat tokens and tickets, and check every answer.

Change: caller is one caller; it repeats a chat only after "not run" and an unclear booking only with the same ticket. scenario runs many of them from a TOML file and counts how each request ended; a cut answer, a clean end that is not whole, another's answer and a second run of a booking each fail the run.

Ruled out: one address book for all users of a workspace, which would send them all to one daemon for as long as its entry answer holds.

Not yet run against cassialatchd.

--- /dev/null
+++ b/standin/caller/service.go
@@ -0,0 +1,132 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+
+	"cassialatch.dev/outcome"
+)
+
+// ServiceCall is one call to a plain service.
+type ServiceCall struct {
+	Service    string
+	Method     string
+	Path       string // within the service, with its leading slash
+	Body       []byte
+	RequestID  string
+	Class      string
+	Idempotent bool // else the call carries a ticket
+}
+
+// ServiceAnswer is a whole answer of a plain service.
+type ServiceAnswer struct {
+	Status int
+	Body   []byte
+}
+
+// Call makes one call. It repeats a call elsewhere when it has not run; a
+// call with a ticket also when its outcome is unclear, with the same ticket.
+// The error is an *outcome.Error.
+func (c *Client) Call(ctx context.Context, call ServiceCall) (ServiceAnswer, error) {
+	ticket := ""
+	unclear := false // an earlier attempt may have run
+	attempts := retrying{client: c}
+	for {
+		address, giveUp := attempts.next(ctx)
+		if giveUp != nil {
+			return ServiceAnswer{}, afterUnclear(unclear, giveUp)
+		}
+		if !call.Idempotent && ticket == "" {
+			fresh, err := c.book.ticket(ctx)
+			if err != nil {
+				return ServiceAnswer{}, outcome.NewNotRun(outcome.CodeNotReady, "no ticket to be had").WithCause(err)
+			}
+			ticket = fresh
+		}
+		answer, failure := c.send(ctx, address, call, ticket)
+		if failure == nil {
+			return answer, nil
+		}
+		if failure.Outcome == outcome.Unknown {
+			unclear = true
+		}
+		failure = afterUnclear(unclear, failure)
+		if !repeatable(call, failure) {
+			return ServiceAnswer{}, failure
+		}
+		if !unclear && badTicket(failure.Code) {
+			ticket = ""
+		}
+		attempts.last = failure
+	}
+}
+
+// afterUnclear returns what a failure says about the whole call: when an
+// earlier attempt may have run, "not run" holds for the last attempt only.
+func afterUnclear(unclear bool, failure *outcome.Error) *outcome.Error {
+	if !unclear || failure.Outcome != outcome.NotRun {
+		return failure
+	}
+	whole := *failure
+	whole.Outcome = outcome.Unknown
+	return &whole
+}
+
+// repeatable tells whether another attempt is safe and of use.
+func repeatable(call ServiceCall, failure *outcome.Error) bool {
+	if futile(failure.Code) {
+		return false
+	}
+	if failure.Outcome == outcome.NotRun {
+		return true
+	}
+	return !call.Idempotent && failure.Code != outcome.CodeExecutorGone
+}
+
+// badTicket tells whether a refusal asks for another ticket.
+func badTicket(code outcome.Code) bool {
+	return code == outcome.CodeTicketInvalid || code == outcome.CodeTicketExpired || code == outcome.CodeTicketVoided
+}
+
+// send makes one attempt.
+func (c *Client) send(ctx context.Context, address string, call ServiceCall, ticket string) (ServiceAnswer, *outcome.Error) {
+	url := "http://" + address + "/svc/" + call.Service + "/" + strings.TrimPrefix(call.Path, "/")
+	req, err := http.NewRequestWithContext(ctx, call.Method, url, bytes.NewReader(call.Body))
+	if err != nil {
+		return ServiceAnswer{}, outcome.NewNotRun(outcome.CodeBadRequest, "cannot build the request").WithCause(err)
+	}
+	c.setHeaders(ctx, req.Header, call.RequestID, call.Class)
+	if len(call.Body) > 0 {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	if ticket != "" {
+		req.Header.Set(outcome.HeaderTicket, ticket)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return ServiceAnswer{}, failedBeforeAnswer(err)
+	}
+	defer resp.Body.Close()
+	return readService(resp)
+}
+
+// readService reads an answer of the service, or the daemon's account of a
+// failure.
+func readService(resp *http.Response) (ServiceAnswer, *outcome.Error) {
+	switch outcome.Outcome(resp.Header.Get(outcome.HeaderOutcome)) {
+	case outcome.NotRun, outcome.Unknown:
+		return ServiceAnswer{}, readFailure(resp)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return ServiceAnswer{}, outcome.NewUnknown(outcome.CodeTruncated, "the answer was cut").WithCause(err)
+	}
+	switch outcome.Outcome(resp.Trailer.Get(outcome.HeaderOutcome)) {
+	case outcome.NotRun, outcome.Unknown:
+		return ServiceAnswer{}, outcome.NewUnknown(outcome.CodeTruncated, "the trailer does not say answered")
+	}
+	return ServiceAnswer{Status: resp.StatusCode, Body: body}, nil
+}
--- /dev/null
+++ b/standin/caller/stream.go
@@ -0,0 +1,117 @@
+package caller
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"cassialatch.dev/outcome"
+	"cassialatch.dev/standin/engine"
+	"cassialatch.dev/wire/engineapi"
+	"github.com/cockroachdb/errors"
+)
+
+const eventPrefix = "data: "
+
+// reader collects a streamed answer.
+type reader struct {
+	answer  ChatAnswer
+	content strings.Builder
+	began   time.Time // of the request
+	last    time.Time // of the last event; zero: none yet
+	seq     int       // of the next event
+	done    bool      // the end mark has come
+}
+
+// readChat reads a streamed answer to its end and verifies that it is whole
+// and the answer to this request.
+func readChat(resp *http.Response, req engineapi.ChatRequest, began time.Time) (ChatAnswer, error) {
+	defer resp.Body.Close()
+	r := reader{began: began}
+	r.answer.Token = resp.Header.Get(outcome.HeaderChat)
+	r.answer.Backend = resp.Header.Get(outcome.HeaderBackend)
+	if err := r.read(resp.Body); err != nil {
+		return r.answer, err
+	}
+	r.answer.Content = r.content.String()
+	return r.answer, r.verify(resp.Trailer, req)
+}
+
+func (r *reader) read(body io.Reader) error {
+	lines := bufio.NewReader(body)
+	for {
+		line, err := lines.ReadString('\n')
+		if errors.Is(err, io.EOF) && line == "" {
+			return nil
+		}
+		if err != nil {
+			return &LostError{Loss: LossCut, Detail: fmt.Sprintf("after %d events", r.seq), cause: err}
+		}
+		data, ok := strings.CutPrefix(strings.TrimRight(line, "\r\n"), eventPrefix)
+		if !ok {
+			continue
+		}
+		if err := r.take(data); err != nil {
+			return err
+		}
+	}
+}
+
+// take accounts for the data of one event.
+func (r *reader) take(data string) error {
+	if r.done {
+		return &LostError{Loss: LossCrossed, Detail: "data after the end mark"}
+	}
+	if data == engineapi.StreamDone {
+		r.done = true
+		return nil
+	}
+	var event engineapi.StreamEvent
+	if err := json.Unmarshal([]byte(data), &event); err != nil {
+		return &LostError{Loss: LossCrossed, Detail: "an event that cannot be read", cause: err}
+	}
+	if event.Seq != r.seq {
+		return &LostError{Loss: LossCrossed, Detail: fmt.Sprintf("event %d where %d was due", event.Seq, r.seq)}
+	}
+	r.seq++
+	r.clock()
+	for _, choice := range event.Choices {
+		if choice.Delta != nil {
+			r.content.WriteString(choice.Delta.Content)
+		}
+	}
+	if event.Usage != nil {
+		r.answer.Usage = *event.Usage
+	}
+	return nil
+}
+
+// clock records the time of an event.
+func (r *reader) clock() {
+	now := time.Now()
+	if r.last.IsZero() {
+		r.answer.FirstToken = now.Sub(r.began)
+	} else {
+		r.answer.Gaps = append(r.answer.Gaps, now.Sub(r.last))
+	}
+	r.last = now
+}
+
+func (r *reader) verify(trailer http.Header, req engineapi.ChatRequest) error {
+	want := strings.Join(engine.Expect(req), " ")
+	switch {
+	case !strings.HasPrefix(want, r.answer.Content):
+		return &LostError{Loss: LossCrossed, Detail: "the words are not those of this request"}
+	case len(r.answer.Content) < len(want):
+		return &LostError{Loss: LossTruncated, Detail: "words are missing"}
+	case !r.done:
+		return &LostError{Loss: LossTruncated, Detail: "no end mark"}
+	case outcome.Outcome(trailer.Get(outcome.HeaderOutcome)) != outcome.Answered:
+		return &LostError{Loss: LossTruncated, Detail: "the trailer does not say answered"}
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/scenario/scenario.go
@@ -0,0 +1,105 @@
+// Package scenario drives many callers through cassialatch as a TOML file
+// says and counts how their requests ended.
+package scenario
+
+import (
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Duration is a time.Duration written as in "30s".
+type Duration struct {
+	time.Duration
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	d.Duration = parsed
+	return err
+}
+
+// Scenario says what load to put on cassialatch.
+type Scenario struct {
+	Name     string         `toml:"name"`
+	Seed     uint64         `toml:"seed"`
+	Duration Duration       `toml:"duration"` // no chat and no booking starts later
+	Deadline Duration       `toml:"deadline"` // of one request
+	Chats    []ChatGroup    `toml:"chats"`
+	Bookings []BookingGroup `toml:"bookings"`
+}
+
+// ChatGroup is a set of alike chat users. With Users each of them begins a
+// new chat when the last has ended; with Rate chats begin at that rate.
+type ChatGroup struct {
+	Workspace string   `toml:"workspace"`
+	Model     string   `toml:"model"`
+	Class     string   `toml:"class"` // short, chat, long or empty for the workspace's
+	Users     int      `toml:"users"`
+	Rate      float64  `toml:"rate"` // chats a second
+	Turns     int      `toml:"turns"`
+	Think     Duration `toml:"think"` // mean pause between turns
+	MaxTokens int      `toml:"max_tokens"`
+	System    string   `toml:"system"` // system prompt, shared by the group
+	Openings  []string `toml:"openings"`
+	FollowUps []string `toml:"follow_ups"`
+}
+
+// BookingGroup is a set of users that look items up and book them.
+type BookingGroup struct {
+	Workspace string   `toml:"workspace"`
+	Service   string   `toml:"service"`
+	Path      string   `toml:"path"`   // /bookings or /shipments
+	Lookup    string   `toml:"lookup"` // path before the item's name; empty: no lookups
+	Release   bool     `toml:"release"`
+	Users     int      `toml:"users"`
+	Think     Duration `toml:"think"`
+	Items     []string `toml:"items"`
+}
+
+// InvalidError is a scenario that cannot be run.
+type InvalidError struct {
+	Reason string
+}
+
+// Error implements error.
+func (e *InvalidError) Error() string { return "invalid scenario: " + e.Reason }
+
+// Load reads a scenario file.
+func Load(file string) (Scenario, error) {
+	var s Scenario
+	f, err := os.Open(file)
+	if err != nil {
+		return s, errors.Wrap(err, "open scenario")
+	}
+	defer f.Close()
+	if err := toml.NewDecoder(f).DisallowUnknownFields().Decode(&s); err != nil {
+		return s, errors.Wrapf(err, "parse %s", file)
+	}
+	return s, s.check()
+}
+
+func (s Scenario) check() error {
+	if s.Duration.Duration <= 0 || s.Deadline.Duration <= 0 {
+		return &InvalidError{Reason: "duration and deadline must be positive"}
+	}
+	for _, g := range s.Chats {
+		switch {
+		case len(g.Openings) == 0 || (g.Turns > 1 && len(g.FollowUps) == 0):
+			return &InvalidError{Reason: "chats of " + g.Workspace + " lack openings or follow_ups"}
+		case g.Turns < 1:
+			return &InvalidError{Reason: "chats of " + g.Workspace + " need at least one turn"}
+		case (g.Users > 0) == (g.Rate > 0):
+			return &InvalidError{Reason: "chats of " + g.Workspace + " need either users or rate"}
+		}
+	}
+	for _, g := range s.Bookings {
+		if len(g.Items) == 0 || g.Users < 1 || g.Path == "" {
+			return &InvalidError{Reason: "bookings of " + g.Workspace + " need users, path and items"}
+		}
+	}
+	return nil
+}
