lease: shares of a load limit, lent for a time

Cause: two daemons that both take themselves for the home of a backend server must not admit more than its limit together. Change: tests of Lender and Shares, with a property test over claims, late grants, pauses, restarts and give-ups. Conclusion: each share is counted by one holder at a time.

--- /dev/null
+++ b/fleet/lease/lease_test.go
@@ -0,0 +1,202 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+const duration = 3 * time.Second
+
+// clock is a clock that tests move.
+type clock struct{ t time.Time }
+
+func newClock() *clock { return &clock{t: time.Unix(1_000_000, 0)} }
+
+func (c *clock) now() time.Time          { return c.t }
+func (c *clock) advance(d time.Duration) { c.t = c.t.Add(d) }
+
+func TestLenderLendsNothingBeforeEarlierLoansHaveEnded(t *testing.T) {
+	is := is.New(t)
+	clock := newClock()
+	lender := NewLender(duration, clock.now)
+
+	is.True(!lender.Grant("runner", Holder{ID: "a"}).Granted)
+	clock.advance(duration)
+	is.True(lender.Grant("runner", Holder{ID: "a"}).Granted)
+}
+
+func TestShareIsLentToOneHolderAtATime(t *testing.T) {
+	is := is.New(t)
+	clock := newClock()
+	lender := NewLender(duration, clock.now)
+	clock.advance(duration)
+	a, b := Holder{ID: "a", Incarnation: 1}, Holder{ID: "b", Incarnation: 1}
+
+	is.True(lender.Grant("runner", a).Granted)
+	refused := lender.Grant("runner", b)
+	is.True(!refused.Granted)
+	is.Equal(refused.Holder, a)
+	is.True(!lender.Grant("runner", Holder{ID: "a", Incarnation: 2}).Granted) // another incarnation is another holder
+
+	lender.Release("runner", b) // only the holder can give it back
+	is.True(!lender.Grant("runner", b).Granted)
+	lender.Release("runner", a)
+	is.True(lender.Grant("runner", b).Granted)
+}
+
+func TestShareEndsByTheHoldersOwnClock(t *testing.T) {
+	is := is.New(t)
+	clock := newClock()
+	shares := NewShares(clock.now)
+
+	sent := clock.now()
+	clock.advance(time.Second) // the answer was slow
+	shares.Granted("runner", "lender", sent, duration, 1)
+	is.Equal(shares.Fraction("runner").Of(8), 8)
+	clock.advance(duration - time.Second) // counted from sending, not from receipt
+	is.Equal(shares.Fraction("runner").Of(8), 0)
+}
+
+func TestFractionsRoundDownAndAMajorityKeepsOne(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		lenders  int
+		group    int
+		limit    int
+		expected int
+	}{
+		{"all of nine", 9, 9, 8, 8},
+		{"eight of nine", 8, 9, 9, 8},
+		{"five of nine of a limit of one", 5, 9, 1, 1},
+		{"four of nine of a limit of one", 4, 9, 1, 0},
+		{"half of a limit of one", 1, 2, 1, 0},
+		{"none", 0, 9, 8, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			clock := newClock()
+			shares := NewShares(clock.now)
+			for i := range tc.lenders {
+				shares.Granted("runner", string(rune('a'+i)), clock.now(), duration, tc.group)
+			}
+			is.Equal(shares.Fraction("runner").Of(tc.limit), tc.expected)
+		})
+	}
+}
+
+// TestShareIsCountedByOneHolderAtATime lets daemons claim, pause, restart and
+// give up in any order, with answers that arrive late. As no share is counted
+// twice, the sum of what all daemons admit stays within the limit.
+func TestShareIsCountedByOneHolderAtATime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const daemons, backend = 3, "runner"
+		clock := newClock()
+		fleet := newFleet(daemons, clock)
+		steps := rapid.IntRange(10, 100).Draw(t, "steps")
+		for range steps {
+			i := rapid.IntRange(0, daemons-1).Draw(t, "daemon")
+			j := rapid.IntRange(0, daemons-1).Draw(t, "lender")
+			switch rapid.SampledFrom([]int{0, 0, 0, 1, 1, 1, 2, 2, 3, 4}).Draw(t, "step") {
+			case 0:
+				fleet.claim(i, j, backend)
+			case 1:
+				fleet.deliver(rapid.IntRange(0, 3).Draw(t, "message"), backend)
+			case 2:
+				clock.advance(time.Duration(rapid.IntRange(1, 6).Draw(t, "halves")) * duration / 6)
+			case 3:
+				fleet.restart(i)
+			case 4:
+				fleet.giveUp(i, backend)
+			}
+			for lender := range daemons {
+				if holders := fleet.holders(lender, backend); holders > 1 {
+					t.Fatalf("%d daemons count the share of lender %d", holders, lender)
+				}
+			}
+		}
+	})
+}
+
+// grantMessage is a grant on its way to its holder.
+type grantMessage struct {
+	holder, lender int
+	incarnation    uint64
+	sent           time.Time
+	duration       time.Duration
+}
+
+// fleet is a set of lenders and holders.
+type fleet struct {
+	clock        *clock
+	lenders      []*Lender
+	shares       []*Shares
+	incarnations []uint64
+	messages     []grantMessage
+}
+
+func newFleet(n int, clock *clock) *fleet {
+	f := &fleet{clock: clock, lenders: make([]*Lender, n), shares: make([]*Shares, n), incarnations: make([]uint64, n)}
+	for i := range n {
+		f.restart(i)
+	}
+	return f
+}
+
+func (f *fleet) holder(i int) Holder {
+	return Holder{ID: string(rune('a' + i)), Incarnation: f.incarnations[i]}
+}
+
+func (f *fleet) restart(i int) {
+	f.incarnations[i]++
+	f.lenders[i] = NewLender(duration, f.clock.now)
+	f.shares[i] = NewShares(f.clock.now)
+}
+
+func (f *fleet) claim(i, j int, backend string) {
+	decision := f.lenders[j].Grant(backend, f.holder(i))
+	if decision.Granted {
+		f.messages = append(f.messages, grantMessage{i, j, f.incarnations[i], f.clock.now(), decision.Duration})
+	}
+}
+
+func (f *fleet) deliver(at int, backend string) {
+	if at >= len(f.messages) {
+		return
+	}
+	m := f.messages[at]
+	f.messages = append(f.messages[:at:at], f.messages[at+1:]...)
+	if m.incarnation == f.incarnations[m.holder] {
+		f.shares[m.holder].Granted(backend, f.holder(m.lender).ID, m.sent, m.duration, len(f.lenders))
+	}
+}
+
+// giveUp drops the holder's shares, and grants still on their way to it, as
+// the sequential calls to each lender ensure, and tells the lenders.
+func (f *fleet) giveUp(i int, backend string) {
+	f.shares[i].Drop(backend)
+	kept := f.messages[:0]
+	for _, m := range f.messages {
+		if m.holder != i {
+			kept = append(kept, m)
+		}
+	}
+	f.messages = kept
+	for _, lender := range f.lenders {
+		lender.Release(backend, f.holder(i))
+	}
+}
+
+// holders returns how many daemons count the share of a lender at this moment.
+func (f *fleet) holders(lender int, backend string) int {
+	id := f.holder(lender).ID
+	n := 0
+	for _, s := range f.shares {
+		if share, ok := s.shares[backend][id]; ok && f.clock.now().Before(share.until) {
+			n++
+		}
+	}
+	return n
+}
--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -61,6 +61,9 @@
 	Log      zerolog.Logger
 	Planner  placement.Planner // nil: the default planner
 	Now      func() time.Time  // nil: time.Now
+
+	Listeners *Listeners    // nil: opened from the settings
+	DialPeer  peer.DialFunc // nil: TCP; tests cut connections by it
 }
 
 // Node is one daemon.
@@ -179,8 +182,8 @@
 // openPaths creates the parts through which requests go.
 func (n *Node) openPaths() error {
 	n.client = backend.NewClient()
-	n.peers = peer.NewClient(&peer.Dialer{TLS: n.security.peerClient})
-	n.control = peer.NewControl(&peer.Dialer{TLS: n.security.peerClient, Wrap: n.countPeer})
+	n.peers = peer.NewClient(&peer.Dialer{TLS: n.security.peerClient, DialFunc: n.opts.DialPeer})
+	n.control = peer.NewControl(&peer.Dialer{TLS: n.security.peerClient, Wrap: n.countPeer, DialFunc: n.opts.DialPeer})
 	holder := lease.Holder{ID: n.self.Id, Incarnation: n.self.Incarnation}
 	n.home = home.New(n.ctx, home.Options{
 		Self: holder, Directory: n.directory, Lender: n.lender, Shares: n.shares, Loads: n.loads,
--- a/fleet/node/run.go
+++ b/fleet/node/run.go
@@ -48,30 +48,38 @@
 	return err
 }
 
-// listeners are the sockets of a daemon.
-type listeners struct {
-	caller, peer, operator net.Listener
+// Listeners are the sockets of a daemon.
+type Listeners struct {
+	Caller, Peer, Operator net.Listener
 }
 
 // listen opens the sockets.
-func (n *Node) listen() (listeners, error) {
-	var ls listeners
+func (n *Node) listen() (Listeners, error) {
+	if n.opts.Listeners != nil {
+		return n.secure(*n.opts.Listeners), nil
+	}
+	var ls Listeners
 	var err error
-	if ls.caller, err = net.Listen("tcp", n.settings.Listen.Caller); err != nil {
+	if ls.Caller, err = net.Listen("tcp", n.settings.Listen.Caller); err != nil {
 		return ls, errors.Wrap(err, "node: listen for callers")
 	}
-	if ls.peer, err = net.Listen("tcp", n.settings.Listen.Peer); err != nil {
-		ls.caller.Close()
+	if ls.Peer, err = net.Listen("tcp", n.settings.Listen.Peer); err != nil {
+		ls.Caller.Close()
 		return ls, errors.Wrap(err, "node: listen for peers")
 	}
-	if ls.operator, err = net.Listen("tcp", n.settings.Listen.Operator); err != nil {
-		ls.caller.Close()
-		ls.peer.Close()
+	if ls.Operator, err = net.Listen("tcp", n.settings.Listen.Operator); err != nil {
+		ls.Caller.Close()
+		ls.Peer.Close()
 		return ls, errors.Wrap(err, "node: listen for operators")
 	}
-	ls.peer = secured(ls.peer, n.security.peerServer)
-	ls.operator = secured(ls.operator, n.security.operator)
-	return ls, nil
+	return n.secure(ls), nil
+}
+
+// secure puts TLS on the ports of peers and operators.
+func (n *Node) secure(ls Listeners) Listeners {
+	ls.Peer = secured(ls.Peer, n.security.peerServer)
+	ls.Operator = secured(ls.Operator, n.security.operator)
+	return ls
 }
 
 // secured wraps a listener in TLS unless it is off.
@@ -105,11 +113,11 @@
 
 // serve starts all loops. They end with n.ctx or when their server is shut
 // down.
-func (n *Node) serve(group *errgroup.Group, servers httpServers, ls listeners) {
+func (n *Node) serve(group *errgroup.Group, servers httpServers, ls Listeners) {
 	peers := peer.NewServer(n.exchange, n, n.settings.Limits.MaxBodyBytes)
-	group.Go(func() error { return closed(servers.caller.Serve(ls.caller)) })
-	group.Go(func() error { return closed(servers.operator.Serve(ls.operator)) })
-	group.Go(func() error { return n.ended(peers.Serve(n.ctx, ls.peer)) })
+	group.Go(func() error { return closed(servers.caller.Serve(ls.Caller)) })
+	group.Go(func() error { return closed(servers.operator.Serve(ls.Operator)) })
+	group.Go(func() error { return n.ended(peers.Serve(n.ctx, ls.Peer)) })
 	group.Go(func() error { n.watcher.Run(n.ctx); return nil })
 	group.Go(func() error { n.exchange.Run(n.ctx); return nil })
 }
--- a/fleet/peer/client.go
+++ b/fleet/peer/client.go
@@ -39,10 +39,14 @@
 // Wrap changes a connection after it was dialled, to count its bytes.
 type Wrap func(net.Conn) net.Conn
 
+// DialFunc opens a TCP connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Dialer opens drpc connections to peers.
 type Dialer struct {
-	TLS  *tls.Config // nil: plain TCP
-	Wrap Wrap        // nil: none
+	TLS      *tls.Config // nil: plain TCP
+	Wrap     Wrap        // nil: none
+	DialFunc DialFunc    // nil: the ordinary dialer
 }
 
 // Dial opens one connection.
@@ -50,8 +54,11 @@
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	dial := d.DialFunc
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	conn, err := dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "peer: dial")
 	}
