order, tests: orders to engines and the harness of failure tests, in progress

Cause: engines must be told what the configuration asks of them, and failure tests need a fleet whose links can be cut. Change: package order; module tests with an in-process fleet.

--- a/fleet/backend/client.go
+++ b/fleet/backend/client.go
@@ -24,6 +24,7 @@
 	idleConnTimeout   = 30 * time.Second
 	maxIdlePerServer  = 64
 	maxReportBytes    = 64 << 10
+	orderTimeout      = 10 * time.Second
 	responseBufferLen = 16 << 10
 )
 
@@ -189,6 +190,30 @@
 	return report, errors.Wrap(err, "backend: decode report")
 }
 
+// Order sends an order to a model engine.
+func (c *Client) Order(ctx context.Context, address string, order engineapi.Order) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	body, err := json.Marshal(order)
+	if err != nil {
+		return errors.Wrap(err, "backend: encode order")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/orders", bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "backend: order request")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.direct.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "backend: order")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return &StatusError{Address: address, Status: resp.StatusCode}
+	}
+	return nil
+}
+
 // StatusError is an answer to a report call with an unexpected HTTP status.
 type StatusError struct {
 	Address string
--- a/fleet/home/home.go
+++ b/fleet/home/home.go
@@ -15,6 +15,7 @@
 	"cassialatch.dev/fleet/lease"
 	"cassialatch.dev/fleet/loadtable"
 	"cassialatch.dev/fleet/member"
+	"cassialatch.dev/fleet/order"
 	"cassialatch.dev/fleet/quarantine"
 	"cassialatch.dev/fleet/straggler"
 	"cassialatch.dev/wire/peerpb"
@@ -320,3 +321,30 @@
 	}
 	return loads
 }
+
+// Engines returns the model engines that this daemon is home of; see package
+// order.
+func (h *Home) Engines() []order.Engine {
+	config := h.opts.Config()
+	var engines []order.Engine
+	for _, n := range h.all() {
+		r, known := rulesOf(config, n.vm.Service)
+		instance := n.instance.Load()
+		if !known || !r.model || !n.open() || instance == nil {
+			continue
+		}
+		engines = append(engines, order.Engine{
+			ID:       n.vm.ID,
+			Address:  n.vm.Address,
+			Model:    n.vm.Service,
+			Instance: *instance,
+		})
+	}
+	return engines
+}
+
+// Holds reports whether this daemon now holds the majority of a backend
+// server's shares.
+func (h *Home) Holds(backendID string) bool {
+	return h.opts.Shares.Fraction(backendID).Majority()
+}
--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -28,6 +28,7 @@
 	"cassialatch.dev/fleet/member"
 	"cassialatch.dev/fleet/metric"
 	"cassialatch.dev/fleet/mtls"
+	"cassialatch.dev/fleet/order"
 	"cassialatch.dev/fleet/peer"
 	"cassialatch.dev/fleet/placement"
 	"cassialatch.dev/fleet/platform"
@@ -95,6 +96,7 @@
 	router   *router.Router
 	executor *executor.Executor
 	exchange *heartbeat.Exchange
+	orderer  *order.Orderer
 	entry    *entry.Server
 	watcher  *platform.Watcher
 	security security
@@ -208,6 +210,9 @@
 		Interval: n.settings.Control.Heartbeat, MaxPeers: n.settings.Control.MaxPeers,
 		Now: n.now, Log: n.log,
 	})
+	n.orderer = order.New(order.Options{
+		Config: n.adopter.Config, Homes: n.home, Client: n.client, Now: n.now, Log: n.log,
+	})
 	n.entry = entry.NewServer(entry.Options{
 		Self: n.self, Peer: n.settings.Listen.Peer, Directory: n.directory, Config: n.adopter.Config,
 		Ready: n.Ready, Router: n.router, Executor: n.executor, Limiter: n.limiter, Index: n.index,
--- a/fleet/node/run.go
+++ b/fleet/node/run.go
@@ -120,6 +120,7 @@
 	group.Go(func() error { return n.ended(peers.Serve(n.ctx, ls.Peer)) })
 	group.Go(func() error { n.watcher.Run(n.ctx); return nil })
 	group.Go(func() error { n.exchange.Run(n.ctx); return nil })
+	group.Go(func() error { n.orderer.Run(n.ctx); return nil })
 }
 
 // closed takes the ordinary end of an HTTP server for success.
--- /dev/null
+++ b/tests/harness/harness.go
@@ -0,0 +1,374 @@
+// Package harness runs a small fleet of daemons with its stand-ins in one test
+// process, over loopback connections that tests can cut.
+package harness
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"cassialatch.dev/config/setting"
+	"cassialatch.dev/fleet/node"
+	"cassialatch.dev/standin/caller"
+	"cassialatch.dev/standin/engine"
+	"cassialatch.dev/standin/plainservice"
+	"cassialatch.dev/standin/platform"
+	"cassialatch.dev/wire/platformapi"
+)
+
+// Names used by all tests.
+const (
+	Site      = "vestland"
+	Model     = "klang-model"
+	Service   = "arkiv-app"
+	Workspace = "skule"
+)
+
+// WaitLimit is how long a test waits for a condition before it fails. It is
+// far above what any condition takes on a busy machine.
+const WaitLimit = 60 * time.Second
+
+// Zones of the fleet; VMs are spread over them in turn.
+var zones = []string{"bergen-a", "bergen-b", "voss-c"}
+
+// Base is the base document of a fleet.
+const Base = `
+[models.klang-model]
+load_factor = 1.25
+min_in_flight = 2
+max_in_flight = 8
+short_reserve = 1
+queue_timeout = "5s"
+deadline = "30s"
+
+[services.arkiv-app]
+max_in_flight = 8
+queue_timeout = "5s"
+deadline = "20s"
+
+[workspaces.skule]
+models = ["klang-model"]
+services = ["arkiv-app"]
+class = "short"
+`
+
+// Options shape a fleet.
+type Options struct {
+	Daemons  int
+	Engines  int
+	Services int
+	Base     string        // empty: Base
+	Engine   engine.Config // zero: a fast engine
+	Service  plainservice.Config
+	Settings func(*setting.Settings) // changes the settings of each daemon; nil: none
+	Client   *http.Client            // of callers; nil: one with pooled connections
+}
+
+// Engine is one model engine of the fleet.
+type Engine struct {
+	*engine.Engine
+	ID     string
+	Server *httptest.Server
+}
+
+// PlainService is one plain backend server of the fleet.
+type PlainService struct {
+	*plainservice.Service
+	ID     string
+	Server *httptest.Server
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	t        testing.TB
+	opts     Options
+	Platform *platform.Platform
+	Engines  []*Engine
+	Services []*PlainService
+	Daemons  []*Daemon
+	Network  *Network
+	platform *httptest.Server
+}
+
+// Start starts a fleet and waits until each daemon is ready. It is stopped
+// when the test ends.
+func Start(t testing.TB, opts Options) *Fleet {
+	t.Helper()
+	f := &Fleet{t: t, opts: opts, Platform: platform.New(platform.Config{}), Network: newNetwork()}
+	f.platform = httptest.NewServer(f.Platform)
+	t.Cleanup(f.stop)
+
+	base := opts.Base
+	if base == "" {
+		base = Base
+	}
+	f.Platform.PutDocument(platformapi.DocumentBase, base, 1)
+	f.startBackends()
+	f.Daemons = make([]*Daemon, opts.Daemons)
+	for i := range f.Daemons {
+		f.Daemons[i] = f.newDaemon(i)
+	}
+	f.Publish()
+	for _, d := range f.Daemons {
+		d.start()
+	}
+	f.WaitReady()
+	return f
+}
+
+// startBackends starts the stand-ins of backend servers.
+func (f *Fleet) startBackends() {
+	for i := range f.opts.Engines {
+		config := f.opts.Engine
+		if config.Slots == 0 {
+			config = FastEngine()
+		}
+		config.Instance = fmt.Sprintf("engine-%d", i)
+		e := &Engine{Engine: engine.New(config), ID: fmt.Sprintf("klang-%d", i)}
+		e.Server = httptest.NewServer(e.Engine)
+		f.Engines = append(f.Engines, e)
+	}
+	for i := range f.opts.Services {
+		s := &PlainService{Service: plainservice.New(f.opts.Service), ID: fmt.Sprintf("arkiv-%d", i)}
+		server := httptest.NewUnstartedServer(s.Service)
+		server.Listener = s.Service.Listener(server.Listener)
+		server.Start()
+		s.Server = server
+		f.Services = append(f.Services, s)
+	}
+}
+
+// FastEngine returns the behaviour of an engine that answers within
+// milliseconds.
+func FastEngine() engine.Config {
+	config := engine.DefaultConfig()
+	config.PrefillPerToken = 10 * time.Microsecond
+	config.DecodePerToken = 200 * time.Microsecond
+	config.ReportLag = 200 * time.Millisecond
+	return config
+}
+
+// Publish puts the VM list that describes the fleet.
+func (f *Fleet) Publish() {
+	var vms []platformapi.VM
+	for _, d := range f.Daemons {
+		vms = append(vms, d.vm())
+	}
+	for i, e := range f.Engines {
+		vms = append(vms, backendVM(e.ID, Model, e.Server, i))
+	}
+	for i, s := range f.Services {
+		vms = append(vms, backendVM(s.ID, Service, s.Server, i))
+	}
+	f.Platform.PutVMs(vms)
+}
+
+// backendVM describes one backend server.
+func backendVM(id, service string, server *httptest.Server, i int) platformapi.VM {
+	return platformapi.VM{
+		ID: id, Role: platformapi.RoleBackend, State: platformapi.StateLive, Site: Site,
+		Zone: zones[i%len(zones)], Service: service, Address: server.Listener.Addr().String(),
+	}
+}
+
+// WaitReady waits until each running daemon is ready and all backend servers
+// have a home that may admit work.
+func (f *Fleet) WaitReady() {
+	f.t.Helper()
+	f.Eventually("daemons ready", func() bool {
+		for _, d := range f.running() {
+			if !d.Node.Ready() {
+				return false
+			}
+		}
+		return true
+	})
+	f.Eventually("limits lent", func() bool { return f.lent() })
+}
+
+// lent reports whether a running daemon knows a limit of each backend server.
+func (f *Fleet) lent() bool {
+	for _, d := range f.running() {
+		for _, b := range d.Node.Status().Backends {
+			if b.Limit == 0 && !b.Leaving {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// running returns the daemons that run.
+func (f *Fleet) running() []*Daemon {
+	var running []*Daemon
+	for _, d := range f.Daemons {
+		if d.Node != nil {
+			running = append(running, d)
+		}
+	}
+	return running
+}
+
+// Eventually waits for a condition.
+func (f *Fleet) Eventually(what string, condition func() bool) {
+	f.t.Helper()
+	Eventually(f.t, what, condition)
+}
+
+// Eventually waits for a condition and fails the test without it.
+func Eventually(t testing.TB, what string, condition func() bool) {
+	t.Helper()
+	limit := time.Now().Add(WaitLimit)
+	for !condition() {
+		if time.Now().After(limit) {
+			t.Fatalf("did not come about: %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// Caller returns a caller that knows all daemons.
+func (f *Fleet) Caller(seed uint64) *caller.Client {
+	client := f.opts.Client
+	if client == nil {
+		client = caller.NewHTTP()
+		f.t.Cleanup(client.CloseIdleConnections)
+	}
+	var entries []string
+	for _, d := range f.Daemons {
+		entries = append(entries, d.Settings.Listen.Caller)
+	}
+	return caller.New(client, Workspace, entries, rand.New(rand.NewPCG(seed, seed)))
+}
+
+// stop stops all that runs.
+func (f *Fleet) stop() {
+	for _, d := range f.running() {
+		d.Stop()
+	}
+	for _, e := range f.Engines {
+		e.Server.Close()
+	}
+	for _, s := range f.Services {
+		s.Server.Close()
+	}
+	f.platform.Close()
+}
+
+// Daemon is one daemon of a fleet.
+type Daemon struct {
+	fleet    *Fleet
+	Settings setting.Settings
+	Node     *node.Node // nil while it does not run
+
+	listeners node.Listeners
+	cancel    context.CancelFunc
+	done      chan error
+}
+
+// newDaemon prepares a daemon; its addresses stay the same over restarts.
+func (f *Fleet) newDaemon(i int) *Daemon {
+	d := &Daemon{fleet: f}
+	d.listen("127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0")
+	d.Settings = setting.Settings{
+		ID: fmt.Sprintf("entry-%d", i), Site: Site, Zone: zones[i%len(zones)],
+		Listen: setting.Listen{
+			Caller:   d.listeners.Caller.Addr().String(),
+			Peer:     d.listeners.Peer.Addr().String(),
+			Operator: d.listeners.Operator.Addr().String(),
+		},
+		Platform: setting.Platform{
+			Addresses: []string{f.platform.Listener.Addr().String()},
+			WatchWait: time.Second, Timeout: 2 * time.Second,
+		},
+		TLS:  setting.TLS{Mode: setting.TLSOff},
+		Keys: []setting.Key{{ID: "k1", Secret: []byte("0123456789abcdef0123456789abcdef")}},
+		Control: setting.Control{
+			BytesPerSecond: setting.DefaultBytesPerSecond, Heartbeat: 50 * time.Millisecond,
+			PeerTimeout: 500 * time.Millisecond, LeaseDuration: 800 * time.Millisecond, MaxPeers: 16,
+		},
+		Limits: setting.Limits{
+			MaxBodyBytes: 1 << 20, MaxHeaderBytes: 64 << 10, HeaderTimeout: 5 * time.Second,
+			BodyTimeout: 5 * time.Second, DrainTimeout: 30 * time.Second,
+			EntryTTL: 500 * time.Millisecond, TicketTTL: time.Minute, MetricSeries: 8,
+		},
+		Log: setting.Log{Level: "error"},
+	}
+	if f.opts.Settings != nil {
+		f.opts.Settings(&d.Settings)
+	}
+	return d
+}
+
+// listen opens the daemon's sockets.
+func (d *Daemon) listen(callers, peers, operators string) {
+	d.listeners = node.Listeners{
+		Caller:   d.fleet.listen(callers),
+		Peer:     d.fleet.listen(peers),
+		Operator: d.fleet.listen(operators),
+	}
+}
+
+// listen opens one socket. After a restart the old one may take a moment to
+// be free.
+func (f *Fleet) listen(address string) net.Listener {
+	f.t.Helper()
+	var listener net.Listener
+	f.Eventually("address "+address+" is free", func() bool {
+		var err error
+		listener, err = net.Listen("tcp", address)
+		return err == nil
+	})
+	return listener
+}
+
+// vm describes the daemon's VM.
+func (d *Daemon) vm() platformapi.VM {
+	return platformapi.VM{
+		ID: d.Settings.ID, Role: platformapi.RoleEntry, State: platformapi.StateLive, Site: Site,
+		Zone: d.Settings.Zone, Address: d.Settings.Listen.Caller, Peer: d.Settings.Listen.Peer,
+	}
+}
+
+// start runs the daemon.
+func (d *Daemon) start() {
+	n, err := node.New(node.Options{
+		Settings:  &d.Settings,
+		Version:   "test",
+		Log:       zerolog.New(zerolog.NewTestWriter(d.fleet.t)).Level(zerolog.ErrorLevel),
+		Listeners: &d.listeners,
+		DialPeer:  d.fleet.Network.dialer(d.Settings.Listen.Peer),
+	})
+	if err != nil {
+		d.fleet.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	d.Node = n
+	d.cancel = cancel
+	d.done = make(chan error, 1)
+	done := d.done
+	go func() { done <- n.Run(ctx) }()
+}
+
+// Stop stops the daemon gracefully and waits for its end.
+func (d *Daemon) Stop() {
+	d.cancel()
+	if err := <-d.done; err != nil {
+		d.fleet.t.Errorf("daemon %s: %v", d.Settings.ID, err)
+	}
+	d.Node = nil
+}
+
+// Restart starts the daemon anew, as another incarnation at its addresses.
+func (d *Daemon) Restart() {
+	listen := d.Settings.Listen
+	d.listen(listen.Caller, listen.Peer, listen.Operator)
+	d.start()
+}
