--- a/config/dynamic/dynamic.go
+++ b/config/dynamic/dynamic.go
@@ -14,7 +14,8 @@
 	ClassLong  Class = "long" // descriptions and reports that may take minutes
 )
 
-// Config is the configuration in force: base and overlay, merged.
+// Config is the configuration in force: base and overlay, merged. It shares
+// entries with the documents that it was merged from: treat it as immutable.
 type Config struct {
 	BaseVersion    uint64
 	OverlayVersion uint64
@@ -22,7 +23,7 @@
 	Models         map[string]*Model     // by name
 	Services       map[string]*Service   // plain services, by name
 	Workspaces     map[string]*Workspace // by name
-	Inactive       []Inactive            // overlay entries that name nothing in the base
+	Inactive       []Inactive            // overlay entries without effect, by key
 }
 
 // Inactive is an overlay entry that has no effect, and why.
@@ -62,7 +63,7 @@
 	Prefix     string
 	Methods    []string // empty: all
 	Idempotent bool
-	Class      Class
+	Class      Class // empty: the workspace's
 }
 
 // Workspace is one tenant and the rules its traffic must follow.
@@ -74,7 +75,7 @@
 	Priority       int
 	RequestsPerSec float64 // zero: no limit; per daemon
 	Burst          int
-	MaxInFlight    int // per daemon; zero: no limit
-	Weight         int // share of a queue, at least 1
-	Deadline       time.Duration
+	MaxInFlight    int           // per daemon; zero: no limit
+	Weight         int           // share of a queue, at least 1
+	Deadline       time.Duration // zero: that of the model or service
 }
--- a/config/internal/document/document.go
+++ b/config/internal/document/document.go
@@ -6,10 +6,8 @@
 import (
 	"sort"
 	"strconv"
-	"strings"
 
 	"github.com/cockroachdb/errors"
-	"github.com/pelletier/go-toml/v2"
 	"github.com/pelletier/go-toml/v2/unstable"
 
 	"cassialatch.dev/config/problem"
@@ -25,7 +23,8 @@
 }
 
 // Parse reads text into a tree. Syntax errors and duplicate keys are among the
-// document's problems afterwards.
+// document's problems afterwards. It stands in for the library's decoder, whose
+// search for duplicates takes quadratic time over tables with many entries.
 func Parse(name string, text []byte) *Document {
 	data := append([]byte(nil), text...)
 	d := &Document{name: name, root: &node{line: 1, kind: kindTable}}
@@ -35,9 +34,6 @@
 		}
 	}
 	d.build(data)
-	if len(d.problems) == 0 {
-		d.verify(data)
-	}
 	return d
 }
 
@@ -108,24 +104,6 @@
 	d.Report(d.lineAt(offset), "", problem.Syntax, "valid TOML", err.Error())
 }
 
-// verify lets the full decoder look for what the tree builder does not check,
-// such as malformed numbers.
-func (d *Document) verify(data []byte) {
-	var ignored any
-	err := toml.Unmarshal(data, &ignored)
-	if err == nil {
-		return
-	}
-	d.broken = true
-	line, key := 1, ""
-	var de *toml.DecodeError
-	if errors.As(err, &de) {
-		line, _ = de.Position()
-		key = strings.Join(de.Key(), ".")
-	}
-	d.Report(line, key, problem.Syntax, "valid TOML", err.Error())
-}
-
 // lineAt returns the line, starting at 1, of a byte offset.
 func (d *Document) lineAt(offset int) int {
 	return 1 + sort.SearchInts(d.newlines, offset)
--- a/config/internal/document/node.go
+++ b/config/internal/document/node.go
@@ -22,13 +22,23 @@
 	kindTime       kind = "a date or time"
 )
 
+// origin tells what defined a table, which decides what may add to it.
+type origin int
+
+const (
+	originPath   origin = iota // only as a part of a header's path
+	originHeader               // by a header of its own
+	originDotted               // by dotted keys
+	originInline
+)
+
 // node is a value of the tree.
 type node struct {
 	name     string // last part of path
 	path     string // dotted
 	line     int
 	kind     kind
-	closed   bool   // tables: defined already, so a second header is a duplicate
+	origin   origin // tables
 	text     string // scalars: the value
 	children []*node
 	index    map[string]*node
@@ -48,11 +58,11 @@
 }
 
 func newChild(parent *node, name string, line int, k kind) *node {
-	return &node{name: name, path: joinPath(parent.path, name), line: line, kind: k}
+	return &node{name: name, path: JoinPath(parent.path, name), line: line, kind: k}
 }
 
-// joinPath appends a key to a dotted path and quotes it where TOML would.
-func joinPath(path, name string) string {
+// JoinPath appends a key to a dotted path and quotes it where TOML would.
+func JoinPath(path, name string) string {
 	if !isBareKey(name) {
 		name = strconv.Quote(name)
 	}
@@ -86,51 +96,48 @@
 	d.Report(line, n.path, problem.Duplicate, "one definition", "a second one; the first is on line "+strconv.Itoa(n.line))
 }
 
-// descend returns the table that a part of a dotted key leads to.
-func (d *Document) descend(parent *node, part keyPart) *node {
-	c := parent.child(part.name)
-	if c == nil {
-		return parent.add(newChild(parent, part.name, part.line, kindTable))
-	}
-	if c.kind == kindTableArray {
-		return c.items[len(c.items)-1]
-	}
-	if c.kind != kindTable {
-		d.reportDuplicate(c, part.line)
-		return newChild(parent, part.name, part.line, kindTable)
+// openParent returns the table that holds the last part of a header's path.
+func (d *Document) openParent(parts []keyPart) *node {
+	table := d.root
+	for _, part := range parts[:len(parts)-1] {
+		c := table.child(part.name)
+		switch {
+		case c == nil:
+			table = table.add(newChild(table, part.name, part.line, kindTable))
+		case c.kind == kindTableArray:
+			table = c.items[len(c.items)-1]
+		case c.kind == kindTable && c.origin != originInline:
+			table = c
+		default:
+			d.reportDuplicate(c, part.line)
+			table = newChild(table, part.name, part.line, kindTable)
+		}
 	}
-	return c
+	return table
 }
 
 func (d *Document) openTable(e *unstable.Node) *node {
 	parts := d.keyParts(e.Key())
-	parent := d.root
-	for _, part := range parts[:len(parts)-1] {
-		parent = d.descend(parent, part)
-	}
-	last := parts[len(parts)-1]
+	parent, last := d.openParent(parts), parts[len(parts)-1]
 	c := parent.child(last.name)
-	if c == nil {
+	switch {
+	case c == nil:
 		c = parent.add(newChild(parent, last.name, last.line, kindTable))
-	} else if c.kind != kindTable || c.closed {
+	case c.kind != kindTable:
 		d.reportDuplicate(c, last.line)
-		if c.kind != kindTable {
-			return newChild(parent, last.name, last.line, kindTable)
-		}
-	} else {
-		c.line = last.line
+		return newChild(parent, last.name, last.line, kindTable)
+	case c.origin != originPath:
+		d.reportDuplicate(c, last.line)
+		return c
 	}
-	c.closed = true
+	c.line = last.line
+	c.origin = originHeader
 	return c
 }
 
 func (d *Document) openArrayTable(e *unstable.Node) *node {
 	parts := d.keyParts(e.Key())
-	parent := d.root
-	for _, part := range parts[:len(parts)-1] {
-		parent = d.descend(parent, part)
-	}
-	last := parts[len(parts)-1]
+	parent, last := d.openParent(parts), parts[len(parts)-1]
 	array := parent.child(last.name)
 	if array == nil {
 		array = parent.add(newChild(parent, last.name, last.line, kindTableArray))
@@ -139,7 +146,7 @@
 		d.reportDuplicate(array, last.line)
 		return newChild(parent, last.name, last.line, kindTable)
 	}
-	return addItem(array, &node{line: last.line, kind: kindTable, closed: true})
+	return addItem(array, &node{line: last.line, kind: kindTable, origin: originHeader})
 }
 
 func addItem(array, item *node) *node {
@@ -152,8 +159,7 @@
 func (d *Document) addKeyValue(table *node, e *unstable.Node) {
 	parts := d.keyParts(e.Key())
 	for _, part := range parts[:len(parts)-1] {
-		table = d.descend(table, part)
-		table.closed = true
+		table = d.openDotted(table, part)
 	}
 	last := parts[len(parts)-1]
 	if c := table.child(last.name); c != nil {
@@ -164,6 +170,21 @@
 	d.fill(c, e.Value())
 }
 
+// openDotted returns the table that a part of a dotted key leads to.
+func (d *Document) openDotted(table *node, part keyPart) *node {
+	c := table.child(part.name)
+	if c != nil && c.kind == kindTable && c.origin == originDotted {
+		return c
+	}
+	dotted := newChild(table, part.name, part.line, kindTable)
+	dotted.origin = originDotted
+	if c != nil {
+		d.reportDuplicate(c, part.line)
+		return dotted
+	}
+	return table.add(dotted)
+}
+
 // fill sets a node's value from the parser's.
 func (d *Document) fill(n *node, value *unstable.Node) {
 	n.text = string(value.Data)
@@ -180,7 +201,7 @@
 		n.kind = kindArray
 		d.fillArray(n, value)
 	case unstable.InlineTable:
-		n.kind, n.closed, n.text = kindTable, true, ""
+		n.kind, n.origin, n.text = kindTable, originInline, ""
 		d.fillTable(n, value)
 	default:
 		n.kind = kindTime
--- a/config/internal/document/table.go
+++ b/config/internal/document/table.go
@@ -26,7 +26,7 @@
 	if key == "" {
 		return t.node.path
 	}
-	return joinPath(t.node.path, key)
+	return JoinPath(t.node.path, key)
 }
 
 // Line returns the line of a key, or that of the table when it lacks the key.
@@ -45,6 +45,9 @@
 	return t.Line(key)
 }
 
+// Problems counts the document's problems so far.
+func (t *Table) Problems() int { return len(t.doc.problems) }
+
 // Has tells whether the table holds a key.
 func (t *Table) Has(key string) bool { return t.node.child(key) != nil }
 
--- a/config/setting/parse_test.go
+++ b/config/setting/parse_test.go
@@ -88,8 +88,11 @@
 		{"repeated key", "site = \"vestland\"", "site = \"vestland\"\nsite = \"junin\"", problem.Duplicate, 3, "site"},
 		{"repeated table", "[tls]", "[listen]\n[tls]", problem.Duplicate, 10, "listen"},
 		{"repeated key id", "[[keys]]", "[[keys]]\nid = \"k1\"\nsecret = \"" + secret + "\"\n[[keys]]", problem.Duplicate, 18, "keys[1].id"},
-		{"integer overflow", "heartbeat = \"500ms\"", "max_peers = 99999", problem.OutOfRange, 13, "control.max_peers"},
+		{"date", "heartbeat = \"500ms\"", "max_peers = 2020-13-01", problem.WrongType, 13, "control.max_peers"},
+		{"integer overflow", "heartbeat = \"500ms\"", "max_peers = 9223372036854775808", problem.OutOfRange, 13, "control.max_peers"},
+		{"integer above bound", "heartbeat = \"500ms\"", "max_peers = 99999", problem.OutOfRange, 13, "control.max_peers"},
 		{"syntax", "zone = \"bergen-a\"", "zone = ", problem.Syntax, 3, ""},
+		{"misplaced underscore", "heartbeat = \"500ms\"", "max_peers = 1__0", problem.Syntax, 13, ""},
 		{"malformed number", "heartbeat = \"500ms\"", "max_peers = 007", problem.Syntax, 13, ""},
 	}
 	for _, tt := range tests {
