admission: tests for late workspaces and for the bound of the floor

Cause: two faults made on a scratch copy passed the tests: a workspace that comes late with a start tag of zero, and a floor without its bound. Ruled out: taking the fairness property as enough (both workspaces in it are there from the start). Change: one test for each. Before: the two faults passed.

--- a/fleet/admission/admission_test.go
+++ b/fleet/admission/admission_test.go
@@ -93,6 +93,22 @@
 	})
 }
 
+func TestAgedLongWorkAboveItsFloorWaitsForShort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := New(Options{Limit: 2, AgeAfter: time.Second})
+		call(q, item("a", dynamic.ClassLong))
+		running := call(q, item("a", dynamic.ClassShort))
+		long := call(q, item("a", dynamic.ClassLong))
+		time.Sleep(time.Second)
+		short := call(q, item("a", dynamic.ClassShort))
+		release(running)
+		is.True(short.slot() != nil && !long.answered())
+		q.Close(nil)
+		synctest.Wait()
+	})
+}
+
 func TestSurgeOfOneWorkspaceDoesNotDelayAnother(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -109,6 +125,32 @@
 	})
 }
 
+func TestWorkspaceThatWasIdleHasNoClaimOnThePast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := New(Options{Limit: 1})
+		running := call(q, item("busy", dynamic.ClassChat))
+		for range 20 {
+			next := call(q, item("busy", dynamic.ClassChat))
+			release(running)
+			running = next
+		}
+		busy := []*caller{call(q, item("busy", dynamic.ClassChat)), call(q, item("busy", dynamic.ClassChat))}
+		calls := append([]*caller{running}, busy...)
+		for range 20 {
+			calls = append(calls, call(q, item("late", dynamic.ClassChat)))
+		}
+		for range 5 {
+			i := slices.IndexFunc(calls, func(c *caller) bool { return c.slot() != nil })
+			release(calls[i])
+			calls = slices.Delete(calls, i, i+1)
+		}
+		is.True(busy[0].answered() && busy[1].answered()) // two of the first five
+		q.Close(nil)
+		synctest.Wait()
+	})
+}
+
 func TestPriorityGoesFirstWithinAClass(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
