--- a/config/setting/parse.go
+++ b/config/setting/parse.go
@@ -84,9 +84,14 @@
 	if len(addresses) == 0 {
 		t.Report("addresses", problem.OutOfRange, "at least one address", "none")
 	}
+	checkHostPorts(t, "addresses", addresses)
+}
+
+// checkHostPorts reports each item of a list that is not host:port.
+func checkHostPorts(t *document.Table, key string, addresses []string) {
 	for i, address := range addresses {
 		if !isHostPort(address) {
-			t.ReportItem("addresses", i, problem.OutOfRange, "host:port", strconv.Quote(address))
+			t.ReportItem(key, i, problem.OutOfRange, "host:port", strconv.Quote(address))
 		}
 	}
 }
@@ -156,6 +161,9 @@
 	t.Duration("peer_timeout", &c.PeerTimeout, minDuration, maxDuration)
 	t.Duration("lease_duration", &c.LeaseDuration, minDuration, maxDuration)
 	t.Int("max_peers", &c.MaxPeers, 1, maxPeers)
+	if t.Strings("seeds", &c.Seeds) {
+		checkHostPorts(t, "seeds", c.Seeds)
+	}
 	if c.PeerTimeout <= c.Heartbeat {
 		t.Report("peer_timeout", problem.OutOfRange, "more than heartbeat, "+c.Heartbeat.String(), c.PeerTimeout.String())
 	}
