cassialatch: operators' tool

Cause: operators need to check documents before they publish them and to ask daemons what they do. Ruled out: a command library (the house asks for flag); a verb's exit code by message text (each failure has a type that carries its code); following redirects (the call belongs to the daemon that was named). Change: verbs config check, render, diff and show, settings check, status, watch, route explain, drain, version and help; exit codes 0, 1, 2 and 3; JSON for scripts; mutual TLS or an explicit -tls-off. An unknown key's problem now lists the keys that are known there. config show was not in the plan; it is the one call of the operators' protocol that had no verb. Before: an empty main. Conclusion: the tool is complete against the protocol as agreed; it has not been run against the real daemon yet.

--- /dev/null
+++ b/cassialatch/internal/command/set.go
@@ -0,0 +1,148 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+
+	"cassialatch.dev/cassialatch/internal/format"
+	"cassialatch.dev/config/problem"
+)
+
+// Program is the tool's name.
+const Program = "cassialatch"
+
+// Set is the tool's verbs, in the order of the help text.
+type Set []*Command
+
+// Failure is what a failed verb writes with -json.
+type Failure struct {
+	Error    string         `json:"error"`
+	ExitCode ExitCode       `json:"exit_code"`
+	Problems problem.Errors `json:"problems,omitempty"`
+}
+
+// Run carries out the command line and returns the exit code.
+func (s Set) Run(ctx context.Context, args []string, stdout, stderr io.Writer) ExitCode {
+	if len(args) == 0 {
+		s.writeHelp(stderr)
+		return ExitBadInput
+	}
+	if isHelp(args[0]) {
+		return s.help(args[1:], stdout, stderr)
+	}
+	c, rest := s.find(args)
+	out := &Output{Out: stdout, Err: stderr}
+	if c == nil {
+		return out.fail(s.unknown(args))
+	}
+	return c.run(ctx, out, rest)
+}
+
+func isHelp(word string) bool {
+	return word == "help" || word == "-h" || word == "-help" || word == "--help"
+}
+
+func (c *Command) run(ctx context.Context, out *Output, args []string) ExitCode {
+	flags, runner := c.flagSet(out)
+	positional, err := c.parse(flags, args)
+	if errors.Is(err, flag.ErrHelp) {
+		c.writeHelp(out.Out)
+		return ExitOK
+	}
+	var usage *Usage
+	if err != nil && !errors.As(err, &usage) {
+		err = NewUsage("%s: %v", c.Name, err)
+	}
+	if err == nil {
+		err = runner(ctx, out, positional)
+	}
+	return out.fail(err)
+}
+
+// fail writes an error, if there is one, and returns its exit code.
+func (o *Output) fail(err error) ExitCode {
+	code := codeOf(err)
+	if err == nil {
+		return code
+	}
+	var problems problem.Errors
+	errors.As(err, &problems)
+	if o.JSON {
+		failure := Failure{Error: err.Error(), ExitCode: code, Problems: problems}
+		if err := format.JSON(o.Out, failure); err != nil {
+			fmt.Fprintln(o.Err, err)
+		}
+		return code
+	}
+	if problems != nil {
+		fmt.Fprintln(o.Err, problems)
+		return code
+	}
+	fmt.Fprintf(o.Err, "%s: %v\n", Program, err)
+	return code
+}
+
+// find returns the command with the longest name that the arguments start with,
+// and the arguments after it.
+func (s Set) find(args []string) (*Command, []string) {
+	var found *Command
+	words := 0
+	for _, c := range s {
+		name := strings.Fields(c.Name)
+		if len(name) > words && startsWith(args, name) {
+			found, words = c, len(name)
+		}
+	}
+	return found, args[words:]
+}
+
+func startsWith(args, words []string) bool {
+	if len(args) < len(words) {
+		return false
+	}
+	for i, w := range words {
+		if args[i] != w {
+			return false
+		}
+	}
+	return true
+}
+
+func (s Set) unknown(args []string) *Usage {
+	return NewUsage("unknown command %q; see %s help", strings.Join(args, " "), Program)
+}
+
+func (s Set) help(args []string, stdout, stderr io.Writer) ExitCode {
+	if len(args) == 0 {
+		s.writeHelp(stdout)
+		return ExitOK
+	}
+	c, rest := s.find(args)
+	if c == nil || len(rest) > 0 {
+		out := &Output{Out: stdout, Err: stderr}
+		return out.fail(s.unknown(args))
+	}
+	c.writeHelp(stdout)
+	return ExitOK
+}
+
+func (s Set) writeHelp(w io.Writer) {
+	fmt.Fprintf(w, "Usage: %s COMMAND [flags]\n\nCommands:\n", Program)
+	table := tabwriter.NewWriter(w, 0, 0, format.ColumnGap, ' ', 0)
+	for _, c := range s {
+		fmt.Fprintf(table, "  %s\t%s\n", strings.TrimSpace(c.Name+" "+c.Args), c.Summary)
+	}
+	fmt.Fprintf(table, "  help [COMMAND]\tShow help for a command\n")
+	table.Flush()
+	fmt.Fprintf(w, "\nExit codes:\n")
+	fmt.Fprintf(w, "  %d  success\n", ExitOK)
+	fmt.Fprintf(w, "  %d  a call failed or the daemon refused it\n", ExitFailed)
+	fmt.Fprintf(w, "  %d  wrong usage or a bad file\n", ExitBadInput)
+	fmt.Fprintf(w, "  %d  daemon unreachable\n", ExitUnreachable)
+}
--- /dev/null
+++ b/cassialatch/internal/daemonclient/client.go
@@ -0,0 +1,97 @@
+// Package daemonclient calls the operators' protocol of one daemon.
+package daemonclient
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"cassialatch.dev/wire/operatorapi"
+)
+
+const (
+	callTimeout    = 10 * time.Second
+	maxAnswerBytes = 64 << 20
+	maxErrorBytes  = 64 << 10
+)
+
+// codeUnknown stands for the code of a failure without an Error body.
+const codeUnknown = "unknown"
+
+// Client calls one daemon.
+type Client struct {
+	address string
+	scheme  string
+	http    *http.Client
+}
+
+// Status returns what the daemon knows of the fleet.
+func (c *Client) Status(ctx context.Context) (*operatorapi.Status, error) {
+	return call[operatorapi.Status](ctx, c, http.MethodGet, "/v1/status", nil)
+}
+
+// Config returns the configuration in force on the daemon.
+func (c *Client) Config(ctx context.Context) (*operatorapi.ConfigInForce, error) {
+	return call[operatorapi.ConfigInForce](ctx, c, http.MethodGet, "/v1/config", nil)
+}
+
+// Route names a request whose way is to be explained.
+type Route struct {
+	Workspace string
+	Model     string
+	Chat      string // chat token
+}
+
+// Explain returns where the daemon would send a request, and why.
+func (c *Client) Explain(ctx context.Context, r Route) (*operatorapi.Explanation, error) {
+	query := url.Values{"workspace": {r.Workspace}}
+	if r.Model != "" {
+		query.Set("model", r.Model)
+	}
+	if r.Chat != "" {
+		query.Set("chat", r.Chat)
+	}
+	return call[operatorapi.Explanation](ctx, c, http.MethodGet, "/v1/explain", query)
+}
+
+// Drain tells the daemon to take no new requests and to end when those in
+// flight are done.
+func (c *Client) Drain(ctx context.Context) (*operatorapi.DrainResponse, error) {
+	return call[operatorapi.DrainResponse](ctx, c, http.MethodPost, "/v1/drain", nil)
+}
+
+func call[T any](ctx context.Context, c *Client, method, path string, query url.Values) (*T, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	u := url.URL{Scheme: c.scheme, Host: c.address, Path: path, RawQuery: query.Encode()}
+	req, err := http.NewRequestWithContext(ctx, method, u.String(), nil)
+	if err != nil {
+		return nil, &Unreachable{Address: c.address, cause: err}
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, &Unreachable{Address: c.address, cause: err}
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode < http.StatusOK || resp.StatusCode >= http.StatusMultipleChoices {
+		return nil, refused(resp)
+	}
+	answer := new(T)
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(answer); err != nil {
+		return nil, &BadAnswer{Path: path, cause: err}
+	}
+	return answer, nil
+}
+
+func refused(resp *http.Response) *Refused {
+	e := &Refused{Status: resp.StatusCode, Code: codeUnknown, Message: http.StatusText(resp.StatusCode)}
+	var body operatorapi.Error
+	err := json.NewDecoder(io.LimitReader(resp.Body, maxErrorBytes)).Decode(&body)
+	if err == nil && body.Code != "" {
+		e.Code, e.Message = body.Code, body.Message
+	}
+	return e
+}
--- /dev/null
+++ b/cassialatch/internal/daemoncmd/explain.go
@@ -0,0 +1,60 @@
+package daemoncmd
+
+import (
+	"context"
+	"flag"
+	"io"
+
+	"cassialatch.dev/cassialatch/internal/command"
+	"cassialatch.dev/cassialatch/internal/daemonclient"
+	"cassialatch.dev/cassialatch/internal/format"
+	"cassialatch.dev/wire/operatorapi"
+)
+
+// Explain is the verb "route explain".
+var Explain = &command.Command{
+	Name:    "route explain",
+	Summary: "Show where a daemon would send a request, and why",
+	Help: `Nothing is sent to a backend server. A request that the daemon would refuse is
+explained as well and does not make the command fail.`,
+	Setup: setupExplain,
+}
+
+func setupExplain(flags *flag.FlagSet) command.Runner {
+	var route daemonclient.Route
+	flags.StringVar(&route.Workspace, "workspace", "", "`name` of the request's workspace")
+	flags.StringVar(&route.Model, "model", "", "`name` of the model; the workspace's first one if left out")
+	flags.StringVar(&route.Chat, "chat", "", "chat `token` that the caller holds")
+	call := func(ctx context.Context, c *daemonclient.Client) (*operatorapi.Explanation, error) {
+		if route.Workspace == "" {
+			return nil, command.NewUsage("route explain needs -workspace")
+		}
+		return c.Explain(ctx, route)
+	}
+	return setup(flags, call, writeExplanation)
+}
+
+func writeExplanation(w io.Writer, e *operatorapi.Explanation) error {
+	head := format.NewTable("")
+	head.Row("workspace", e.Workspace)
+	head.Row("model", e.Model)
+	head.Row("class", e.Class)
+	head.Row("warm", e.Warm)
+	if e.Refused != "" {
+		head.Row("refused", e.Refused)
+	}
+	candidates := format.NewTable("Candidates", "BACKEND SERVER", "HOME", "IN FLIGHT", "LIMIT", "REASON")
+	for _, c := range e.Candidates {
+		candidates.Row(c.Backend, c.Home, c.InFlight, c.Limit, c.Reason)
+	}
+	return writeTables(w, head, candidates)
+}
+
+func writeTables(w io.Writer, tables ...*format.Table) error {
+	for _, t := range tables {
+		if err := t.Write(w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/config/internal/document/document.go
+++ b/config/internal/document/document.go
@@ -4,8 +4,10 @@
 package document
 
 import (
+	"slices"
 	"sort"
 	"strconv"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/pelletier/go-toml/v2/unstable"
@@ -63,7 +65,7 @@
 func (d *Document) reportUnread(n *node) {
 	for _, c := range n.children {
 		if !c.read {
-			d.Report(c.line, c.path, problem.UnknownKey, "a known key", strconv.Quote(c.name))
+			d.Report(c.line, c.path, problem.UnknownKey, knownKeys(n), strconv.Quote(c.name))
 			continue
 		}
 		d.reportUnread(c)
@@ -73,6 +75,12 @@
 	}
 }
 
+func knownKeys(n *node) string {
+	keys := slices.Clone(n.known)
+	slices.Sort(keys)
+	return "one of " + strings.Join(slices.Compact(keys), ", ")
+}
+
 // build fills the tree expression by expression.
 func (d *Document) build(data []byte) {
 	p := &unstable.Parser{}
--- a/config/internal/document/node.go
+++ b/config/internal/document/node.go
@@ -44,6 +44,7 @@
 	index    map[string]*node
 	items    []*node // arrays
 	read     bool
+	known    []string // tables: keys that were asked for
 }
 
 func (n *node) child(name string) *node { return n.index[name] }
--- a/config/internal/document/table.go
+++ b/config/internal/document/table.go
@@ -86,10 +86,16 @@
 	}
 }
 
+// lookUp returns a key's node, or nil, and notes the key as a known one.
+func (t *Table) lookUp(key string) *node {
+	t.node.known = append(t.node.known, key)
+	return t.node.child(key)
+}
+
 // find returns a key's node when it has one of the kinds, and reports another
 // kind.
 func (t *Table) find(key string, kinds ...kind) *node {
-	c := t.node.child(key)
+	c := t.lookUp(key)
 	if c == nil {
 		return nil
 	}
@@ -162,7 +168,7 @@
 
 // Secret reads a string whose value no problem may quote.
 func (t *Table) Secret(key string, into *string) bool {
-	c := t.node.child(key)
+	c := t.lookUp(key)
 	if c == nil {
 		return false
 	}
@@ -264,7 +270,7 @@
 
 // Duration reads a duration between low and high from a string with a unit.
 func (t *Table) Duration(key string, into *time.Duration, low, high time.Duration) bool {
-	c := t.node.child(key)
+	c := t.lookUp(key)
 	if c == nil {
 		return false
 	}
--- a/config/problem/problem.go
+++ b/config/problem/problem.go
@@ -35,6 +35,11 @@
 	Got      string `json:"got"`
 }
 
+// NewUnreadable returns the problem of a file that cannot be read.
+func NewUnreadable(file string, cause error) *Error {
+	return &Error{File: file, Kind: Unreadable, Expected: "a readable file", Got: cause.Error()}
+}
+
 // Error implements error.
 func (e *Error) Error() string {
 	var b strings.Builder
--- a/config/setting/parse.go
+++ b/config/setting/parse.go
@@ -18,15 +18,11 @@
 func Load(path string) (*Settings, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, errors.WithStack(problem.Errors{unreadable(path, err)})
+		return nil, errors.WithStack(problem.Errors{problem.NewUnreadable(path, err)})
 	}
 	return Parse(path, text)
 }
 
-func unreadable(path string, err error) *problem.Error {
-	return &problem.Error{File: path, Kind: problem.Unreadable, Expected: "a readable file", Got: err.Error()}
-}
-
 // Parse reads the settings from TOML text; name stands for the file in
 // problems. A failure is a problem.Errors with every problem found.
 func Parse(name string, text []byte) (*Settings, error) {
