docs/operators: reference of settings, configuration and tool

Cause: operators need each key's meaning, unit, default and which document may set it, and scripts the tool's outputs and exit codes. Change: three pages; -json also holds for wrong flags and unknown commands. Before: no pages. The rows of the settings page are checked by eye only.

--- a/cassialatch/internal/cli/cli_test.go
+++ b/cassialatch/internal/cli/cli_test.go
@@ -166,6 +166,12 @@
 			is.Equal(r.code, command.ExitBadInput)
 			is.Equal(r.out, "")
 			is.True(r.errOut != "")
+			if args == "" {
+				return // shows the help
+			}
+			r = run(t.Context(), append(strings.Fields(args), "--json")...)
+			is.Equal(r.code, command.ExitBadInput)
+			is.True(json.Valid([]byte(r.out)))
 		})
 	}
 }
--- a/cassialatch/internal/command/command.go
+++ b/cassialatch/internal/command/command.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"io"
 	"strings"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Runner carries out a verb with its positional arguments.
@@ -57,9 +59,13 @@
 func (c *Command) parse(flags *flag.FlagSet, args []string) ([]string, error) {
 	var positional []string
 	for {
-		if err := flags.Parse(args); err != nil {
+		err := flags.Parse(args)
+		if errors.Is(err, flag.ErrHelp) {
 			return nil, err
 		}
+		if err != nil {
+			return nil, NewUsage("%s: %v", c.Name, err)
+		}
 		left := flags.Args()
 		used := len(args) - len(left)
 		if used > 0 && args[used-1] == "--" {
--- a/cassialatch/internal/command/set.go
+++ b/cassialatch/internal/command/set.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"text/tabwriter"
 
@@ -39,6 +40,7 @@
 	c, rest := s.find(args)
 	out := &Output{Out: stdout, Err: stderr}
 	if c == nil {
+		out.JSON = asksForJSON(args)
 		return out.fail(s.unknown(args))
 	}
 	return c.run(ctx, out, rest)
@@ -55,14 +57,16 @@
 		c.writeHelp(out.Out)
 		return ExitOK
 	}
-	var usage *Usage
-	if err != nil && !errors.As(err, &usage) {
-		err = NewUsage("%s: %v", c.Name, err)
+	if err != nil {
+		out.JSON = asksForJSON(args)
+		return out.fail(err)
 	}
-	if err == nil {
-		err = runner(ctx, out, positional)
-	}
-	return out.fail(err)
+	return out.fail(runner(ctx, out, positional))
+}
+
+// asksForJSON looks for the flag in a command line that does not parse.
+func asksForJSON(args []string) bool {
+	return slices.Contains(args, "-json") || slices.Contains(args, "--json")
 }
 
 // fail writes an error, if there is one, and returns its exit code.
@@ -125,7 +129,7 @@
 	}
 	c, rest := s.find(args)
 	if c == nil || len(rest) > 0 {
-		out := &Output{Out: stdout, Err: stderr}
+		out := &Output{Out: stdout, Err: stderr, JSON: asksForJSON(args)}
 		return out.fail(s.unknown(args))
 	}
 	c.writeHelp(stdout)
--- a/config/setting/parse_test.go
+++ b/config/setting/parse_test.go
@@ -154,3 +154,14 @@
 		}
 	})
 }
+
+func TestExampleOfThePageIsSound(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/operators/settings.md")
+	is.NoErr(err)
+	_, example, found := strings.Cut(string(page), "```toml\n")
+	is.True(found)
+	example, _, _ = strings.Cut(example, "```")
+	_, err = Parse("settings.md", []byte(example))
+	is.NoErr(err)
+}
