config: tests for faults that earlier ones let pass

Cause: on a scratch copy, dropping the bound of peer_timeout and reporting keys without id as duplicates left all tests green; the order of inactive entries had no test of its own. Ruled out: nothing. Change: one table row and two tests.

--- a/config/dynamic/merge_test.go
+++ b/config/dynamic/merge_test.go
@@ -76,6 +76,16 @@
 	}
 }
 
+func TestInactiveEntriesAreOrderedByKey(t *testing.T) {
+	is := is.New(t)
+	b, o := parseBoth(t, soundBase, "[workspaces.z]\n[workspaces.y]\n[services.x]\n[models.q]\n[models.p]\n")
+	var keys []string
+	for _, i := range Merge(b, o).Inactive {
+		keys = append(keys, i.Key)
+	}
+	is.Equal(keys, []string{"models.p", "models.q", "services.x", "workspaces.y", "workspaces.z"})
+}
+
 func TestDiffListsTypedChanges(t *testing.T) {
 	is := is.New(t)
 	b, o := parseBoth(t, soundBase, soundOverlay)
--- a/config/setting/parse_test.go
+++ b/config/setting/parse_test.go
@@ -79,6 +79,7 @@
 		{"not a duration", "\"500ms\"", "\"soon\"", problem.WrongType, 13, "control.heartbeat"},
 		{"negative duration", "\"500ms\"", "\"-1s\"", problem.OutOfRange, 13, "control.heartbeat"},
 		{"heartbeat over lease", "heartbeat = \"500ms\"", "lease_duration = \"100ms\"", problem.OutOfRange, 13, "control.lease_duration"},
+		{"heartbeat over peer timeout", "heartbeat = \"500ms\"", "peer_timeout = \"500ms\"", problem.OutOfRange, 13, "control.peer_timeout"},
 		{"address by name", "\"10.0.0.1:8081\"", "\"entry:8081\"", problem.OutOfRange, 6, "listen.peer"},
 		{"bad platform address", "\"10.1.0.1:80\"", "\"10.1.0.1\"", problem.OutOfRange, 9, "platform.addresses[0]"},
 		{"unknown tls mode", "\"off\"", "\"maybe\"", problem.OutOfRange, 11, "tls.mode"},
@@ -126,6 +127,18 @@
 	})
 }
 
+func TestKeysWithoutIDAreMissingNotDuplicate(t *testing.T) {
+	is := is.New(t)
+	two := strings.Replace(sound, "id = \"k1\"\n", "secret = \""+secret+"\"\n[[keys]]\n", 1)
+	_, err := Parse("d.toml", []byte(two))
+	var errs problem.Errors
+	is.True(errors.As(err, &errs))
+	is.Equal(len(errs), 2)
+	for _, e := range errs {
+		is.Equal(e.Kind, problem.MissingKey)
+	}
+}
+
 func TestLoadReadsAFileAndReportsAMissingOne(t *testing.T) {
 	is := is.New(t)
 	path := filepath.Join(t.TempDir(), "settings.toml")
