--- a/standin/caller/caller_test.go
+++ b/standin/caller/caller_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"cassialatch.dev/outcome"
@@ -181,3 +182,16 @@
 	_, err := c.Call(context.Background(), caller.ServiceCall{Method: http.MethodPost, Path: "/bookings"})
 	is.Equal(outcome.From(err).Outcome, outcome.Unknown)
 }
+
+func TestWaitReadyReturnsOnceTheDaemonIsReady(t *testing.T) {
+	is := is.New(t)
+	var asked atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if asked.Add(1) == 1 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}))
+	defer server.Close()
+	is.NoErr(caller.WaitReady(context.Background(), http.DefaultClient, []string{server.Listener.Addr().String()}))
+	is.Equal(asked.Load(), int32(2))
+}
--- a/standin/cmd/cassialatch-load/main.go
+++ b/standin/cmd/cassialatch-load/main.go
@@ -16,16 +16,18 @@
 	"syscall"
 	"time"
 
+	"cassialatch.dev/standin/caller"
 	"cassialatch.dev/standin/internal/serve"
 	"cassialatch.dev/standin/scenario"
 	"github.com/rs/zerolog"
 )
 
 const (
-	exitLost      = 1
-	exitCannotRun = 2
-	idBase        = 36
-	jsonFileMode  = 0o644
+	exitLost           = 1
+	exitCannotRun      = 2
+	idBase             = 36
+	jsonFileMode       = 0o644
+	defaultWaitTimeout = 20 * time.Second
 )
 
 func main() {
@@ -33,6 +35,8 @@
 	file := flag.String("scenario", "", "scenario file")
 	jsonFile := flag.String("json", "", "write the summary as JSON to this file")
 	run := flag.String("run", strconv.FormatInt(time.Now().UnixNano(), idBase), "part of each id; differs between runs")
+	operators := flag.String("wait-ready", "", "operator addresses, host:port, of daemons that must be ready first")
+	waitTimeout := flag.Duration("wait-timeout", defaultWaitTimeout, "longest wait for -wait-ready")
 	verbose := flag.Bool("v", false, "log each failed request")
 	flag.Parse()
 	log := serve.Logger("load")
@@ -46,11 +50,26 @@
 		options.Failure = func(err error) { log.Warn().Err(err).Msg("request failed") }
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	if err := waitReady(ctx, *operators, *waitTimeout); err != nil {
+		log.Error().Err(err).Msg("cannot start")
+		os.Exit(exitCannotRun)
+	}
 	summary := scenario.Run(ctx, s, options)
 	stop()
 	os.Exit(report(summary, *jsonFile, log))
 }
 
+func waitReady(ctx context.Context, operators string, timeout time.Duration) error {
+	if operators == "" {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	h := caller.NewHTTP()
+	defer h.CloseIdleConnections()
+	return caller.WaitReady(ctx, h, strings.Split(operators, ","))
+}
+
 func printProgress(s scenario.Summary) { fmt.Fprintln(os.Stderr, s.Progress()) }
 
 // report prints the summary and returns the exit code.
