standin: read request bodies to their end

Cause: net/http watches for a closed connection only once the body has been read to its end, and a JSON decoder may stop before the last chunk.

Change: one Decode in internal/respond reads the whole body; the cancel test sends its body in chunks.

--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -52,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(b))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, chunked{bytes.NewReader(b)})
 	if err != nil {
 		return nil, err
 	}
@@ -62,6 +63,11 @@
 	return http.DefaultClient.Do(req)
 }
 
+// chunked hides the length of a body, so that it is sent in chunks.
+type chunked struct {
+	io.Reader
+}
+
 // readStream returns the events' content and usage and whether [DONE] came.
 func readStream(is *is.I, resp *http.Response) (content string, usage engineapi.Usage, done bool) {
 	defer resp.Body.Close()
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -35,18 +35,9 @@
 	e.mux.HandleFunc("GET /control/stats", func(w http.ResponseWriter, _ *http.Request) { respond.JSON(w, e.Stats()) })
 }
 
-// decode reads a JSON body into v and answers 400 when it cannot.
-func decode(w http.ResponseWriter, r *http.Request, v any) bool {
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(v); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return false
-	}
-	return true
-}
-
 func (e *Engine) postChat(w http.ResponseWriter, r *http.Request) {
 	var req engineapi.ChatRequest
-	if !decode(w, r, &req) {
+	if !respond.Decode(w, r, maxRequestBytes, &req) {
 		return
 	}
 	priority, err := parsePriority(r)
@@ -168,7 +159,7 @@
 
 func (e *Engine) postExport(w http.ResponseWriter, r *http.Request) {
 	var selector engineapi.CacheSelector
-	if !decode(w, r, &selector) {
+	if !respond.Decode(w, r, maxRequestBytes, &selector) {
 		return
 	}
 	e.mu.Lock()
@@ -179,7 +170,7 @@
 
 func (e *Engine) postImport(w http.ResponseWriter, r *http.Request) {
 	var prefixes []cachedPrefix
-	if !decode(w, r, &prefixes) {
+	if !respond.Decode(w, r, maxRequestBytes, &prefixes) {
 		return
 	}
 	e.mu.Lock()
@@ -191,7 +182,7 @@
 
 func (e *Engine) postOrder(w http.ResponseWriter, r *http.Request) {
 	var order engineapi.Order
-	if !decode(w, r, &order) {
+	if !respond.Decode(w, r, maxRequestBytes, &order) {
 		return
 	}
 	e.mu.Lock()
--- a/standin/internal/respond/respond.go
+++ b/standin/internal/respond/respond.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 )
@@ -14,6 +15,21 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
+// Decode reads a JSON body of at most limit bytes into v and answers 400 when
+// it cannot. It reads the body to its end, without which the server would not
+// notice that the caller closes the connection.
+func Decode(w http.ResponseWriter, r *http.Request, limit int64, v any) bool {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err == nil {
+		err = json.Unmarshal(body, v)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
 // Abort closes the caller's connection without a clean end of the answer.
 func Abort() {
 	panic(http.ErrAbortHandler)
--- a/standin/plainservice/plainservice.go
+++ b/standin/plainservice/plainservice.go
@@ -143,9 +143,11 @@
 		var body struct {
 			ID string `json:"id"`
 		}
-		err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&body)
-		if err != nil || body.ID == "" {
-			http.Error(w, "the body must be JSON with an id", http.StatusBadRequest)
+		if !respond.Decode(w, r, maxBodyBytes, &body) {
+			return
+		}
+		if body.ID == "" {
+			http.Error(w, "the body must hold an id", http.StatusBadRequest)
 			return
 		}
 		s.runOnce(w, r, kind, body.ID)
