model: lent shares checked exhaustively

Cause: the load bound rests on shares of a backend server's limit that are lent by leases; it had to be shown that a share is never counted twice and that the engine never runs more than its limit, whatever the views, pauses, crashes and messages.

A run fails when a property fails, the search is not complete, or an assertion is never reached (it is replaced by a false one, which must fail).

Ruled out, each by a counterexample: the limit scaled by the visible part of the group; own work below the share and all work below the limit (two more than the limit with three daemons); others' work kept out of the own share only. What holds: own work and all other work, by a report taken after the newest share, below the lent part.

Conclusion: no slack while the write to the engine is one step with the check; with g requests at most between them, g more for each earlier incarnation that held shares, and none if the holder ends its count early by the length of the gap.

--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,12 @@
 test:
 	go test -race -count=1 $(PKGS)
 
+model:
+	scripts/model.sh check
+
+model-mutants:
+	scripts/model.sh mutants
+
 generate:
 	go build -o .bin/ google.golang.org/protobuf/cmd/protoc-gen-go storj.io/drpc/cmd/protoc-gen-go-drpc
 	PATH=$(CURDIR)/.bin:$$PATH protoc --go_out=wire --go_opt=module=cassialatch.dev/wire --go-drpc_out=wire --go-drpc_opt=module=cassialatch.dev/wire -I wire wire/peerpb/peer.proto
--- /dev/null
+++ b/model/lease.pml
@@ -0,0 +1,401 @@
+/*
+ * Lent shares of one backend server's limit.
+ *
+ * N daemons are published as the lender group. Each of them owns 1/N of
+ * LIMIT, lends it to one holder at a time, and may itself be a holder. Every
+ * daemon may claim at every time: that covers any views of the members,
+ * lagging and not transitive ones included. A daemon is paused whenever the
+ * clock ticks and the daemon takes no step; the clock never waits for one.
+ *
+ * Times are ticks left, so the model has no horizon. See README.md for what
+ * is abstracted.
+ */
+#define PROPERTY(name, condition) assert(condition)
+
+#define N 3
+#ifndef LIMIT
+#define LIMIT 3
+#endif
+#ifndef TTL
+#define TTL 2             /* duration of a loan, in ticks */
+#endif
+#ifndef TRANSIT
+#define TRANSIT 1         /* messages under way at one time */
+#endif
+#ifndef CRASHES
+#define CRASHES 1
+#endif
+#ifndef DRAINS
+#define DRAINS 0
+#endif
+#ifndef MARGIN
+#define MARGIN 0          /* ticks by which a holder ends its count early */
+#endif
+#ifndef SLACK
+#define SLACK 0
+#endif
+
+#define NOBODY  N
+#define ENDED   (N + 1)   /* a holder incarnation that has crashed */
+#define UNKNOWN 15
+#define NONE    0
+#define CLAIM   1         /* CLAIM + age */
+#define GRANT   (CLAIM + TTL) /* GRANT + age of its claim */
+
+#define PAIR(d, l)     ((d) * N + (l))
+#define IS_CLAIM(m)    ((m) >= CLAIM && (m) < GRANT)
+#define IS_GRANT(m)    ((m) >= GRANT)
+
+byte holder[N];           /* lender: whom the share is lent to */
+byte loan[N];             /* lender: ticks until the loan ends */
+byte wait[N];             /* lender: ticks until it may grant after a start */
+byte share[N * N];        /* holder: ticks for which it counts the share */
+byte message[N * N];      /* claim or grant under way, by claimant and lender */
+byte transit;
+byte foreign[N];          /* home: others' work by the last report */
+byte running[N];          /* engine: work of the present incarnations */
+byte orphans;             /* engine: work of ended incarnations */
+bool draining[N];
+byte crashes = CRASHES;
+byte drains = DRAINS;
+#ifdef GAP
+byte checked[N];          /* admitted, not yet written to the engine */
+#ifdef GAP_TICKS
+byte gap_left[N];         /* ticks until the oldest of them must be written */
+#endif
+#endif
+
+#ifdef MUT_NO_CLOCK_CHECK
+bool held[N * N];         /* cleared by a later step of the holder only */
+#define COUNTED(d, l) (held[PAIR(d, l)])
+#else
+/* (*Holder).Share reads the monotonic clock at each call. */
+#define COUNTED(d, l) (share[PAIR(d, l)] > MARGIN)
+#endif
+
+/* (*Holder).Granted */
+#define GRANTED(d) (COUNTED(d, 0) + COUNTED(d, 1) + COUNTED(d, 2))
+
+#ifdef WAY_MAJORITY
+#define ALLOWED(d) ((GRANTED(d) * 2 > N) * LIMIT)
+#else
+/* (*Home).admit: the floor of the lent part, and 1 at least for a majority. */
+#define FLOOR(d)   ((GRANTED(d) * LIMIT) / N)
+#define ALLOWED(d) ((FLOOR(d) == 0 && GRANTED(d) * 2 > N) -> 1 : FLOOR(d))
+#endif
+
+#define ENGINE (running[0] + running[1] + running[2] + orphans)
+
+#ifdef GAP
+#define OWN(d) (running[d] + checked[d])
+#else
+#define OWN(d) (running[d])
+#endif
+
+/* (*Home).admit: own work and all other work by a report that is no older
+ * than the newest share. */
+#if defined(MUT_IGNORE_FORMER)
+#define MAY_ADMIT(d) (OWN(d) < ALLOWED(d))
+#elif defined(WAY_TOTAL)
+#define MAY_ADMIT(d) (foreign[d] != UNKNOWN && OWN(d) < ALLOWED(d) && OWN(d) + foreign[d] < LIMIT)
+#else
+#define MAY_ADMIT(d) (foreign[d] != UNKNOWN && OWN(d) + foreign[d] < ALLOWED(d))
+#endif
+
+/* (*Lender).Grant */
+#ifdef MUT_GRANT_EARLY
+#define MAY_GRANT(l, c) (wait[l] == 0)
+#else
+#define MAY_GRANT(l, c) (wait[l] == 0 && (loan[l] == 0 || holder[l] == c))
+#endif
+
+inline send(d, l, m)
+{
+	message[PAIR(d, l)] = m;
+	transit++
+}
+
+inline clear(p)
+{
+	message[p] = NONE;
+	transit--
+}
+
+/* (*Holder).Share: a claim is under way from its local sending time on. */
+#define STEP_CLAIM(l) \
+	:: d_step { !draining[d] && message[PAIR(d, l)] == NONE && transit < TRANSIT -> \
+		send(d, l, CLAIM) }
+
+/* (*Lender).Grant: the loan runs from now, the answer keeps the claim's age. */
+#define STEP_GRANT(c) \
+	:: d_step { IS_CLAIM(message[PAIR(c, d)]) && MAY_GRANT(d, c) -> \
+		holder[d] = c; loan[d] = TTL; \
+		message[PAIR(c, d)] = message[PAIR(c, d)] - CLAIM + GRANT }
+
+/* (*Holder).Share: counted from the sending time; a share that is new makes
+ * the last report too old. */
+#define STEP_RECEIVE(l) \
+	:: d_step { IS_GRANT(message[PAIR(d, l)]) -> receive(PAIR(d, l), l) }
+
+#ifdef MUT_COUNT_FROM_RECEIPT
+#define LEFT(m) (TTL)
+#else
+#define LEFT(m) (TTL - ((m) - GRANT))
+#endif
+
+inline receive(p, l)
+{
+	if
+	:: draining[d] -> skip
+	:: else ->
+#ifndef MUT_OLD_REPORT
+		if
+		:: !COUNTED(d, l) -> foreign[d] = UNKNOWN
+		:: else -> skip
+		fi;
+#endif
+		if
+		:: share[p] < LEFT(message[p]) -> share[p] = LEFT(message[p])
+		:: else -> skip
+		fi;
+#ifdef MUT_NO_CLOCK_CHECK
+		held[p] = true;
+#endif
+		/* A share is never counted by two holders. */
+		PROPERTY(one_holder, COUNTED(0, l) + COUNTED(1, l) + COUNTED(2, l) <= 1)
+	fi;
+	clear(p)
+}
+
+/* (*Lender).Release: only a holder that drains, and so admits no more, gives
+ * its shares back. */
+#ifdef MUT_RELEASE_UNDRAINED
+#define MAY_RELEASE(l) (drains > 0 && holder[l] == d)
+#define SPEND_RELEASE drains--
+#else
+#define MAY_RELEASE(l) (draining[d] && holder[l] == d)
+#define SPEND_RELEASE skip
+#endif
+#define STEP_RELEASE(l) \
+	:: d_step { MAY_RELEASE(l) -> holder[l] = NOBODY; loan[l] = 0; SPEND_RELEASE }
+
+#define STEP_FORGET(l) \
+	:: d_step { held[PAIR(d, l)] && share[PAIR(d, l)] <= MARGIN -> held[PAIR(d, l)] = false }
+
+/* The report is useless to a daemon that counts no share. */
+inline forget_report(i)
+{
+	if
+	:: GRANTED(i) == 0 -> foreign[i] = UNKNOWN
+	:: else -> skip
+	fi
+}
+
+inline end_shares(i)
+{
+	for (k : 0 .. N - 1) {
+		share[PAIR(i, k)] = 0;
+#ifdef MUT_NO_CLOCK_CHECK
+		held[PAIR(i, k)] = false;
+#endif
+	}
+	foreign[i] = UNKNOWN;
+	k = 0
+}
+
+inline drain()
+{
+	drains--;
+	draining[d] = true;
+	end_shares(d)
+}
+
+/* A crash forgets all; the next incarnation starts in the same step. */
+inline crash()
+{
+	crashes--;
+	for (k : 0 .. N - 1) {
+		if
+		:: message[PAIR(d, k)] != NONE -> clear(PAIR(d, k))
+		:: else -> skip
+		fi;
+		if
+		:: holder[k] == d -> holder[k] = ENDED
+		:: else -> skip
+		fi
+	}
+	end_shares(d);
+	holder[d] = NOBODY;
+	loan[d] = 0;
+#ifndef MUT_NO_START_WAIT
+	wait[d] = TTL; /* NewLender */
+#endif
+	draining[d] = false;
+	orphans = orphans + running[d];
+	running[d] = 0;
+#ifdef GAP
+	checked[d] = 0;
+#endif
+	k = 0
+}
+
+inline check_limit()
+{
+	/* The engine never runs more than the limit. */
+	PROPERTY(engine_limit, ENGINE <= LIMIT + SLACK)
+}
+
+proctype daemon(byte d)
+{
+	byte k;
+	do
+	STEP_CLAIM(0) STEP_CLAIM(1) STEP_CLAIM(2)
+	STEP_GRANT(0) STEP_GRANT(1) STEP_GRANT(2)
+	STEP_RECEIVE(0) STEP_RECEIVE(1) STEP_RECEIVE(2)
+#if DRAINS > 0
+	STEP_RELEASE(0) STEP_RELEASE(1) STEP_RELEASE(2)
+#ifndef MUT_RELEASE_UNDRAINED
+	:: d_step { drains > 0 && !draining[d] && GRANTED(d) > 0 -> drain() }
+#endif
+#endif
+#ifdef MUT_NO_CLOCK_CHECK
+	STEP_FORGET(0) STEP_FORGET(1) STEP_FORGET(2)
+#endif
+#ifndef SHARES_ONLY
+	/* (*Home).admit: a report asked for after the newest grant. */
+	:: d_step { GRANTED(d) > 0 && foreign[d] != ENGINE - running[d] ->
+		foreign[d] = ENGINE - running[d] }
+#ifdef GAP
+	:: d_step { !draining[d] && checked[d] < GAP && MAY_ADMIT(d) ->
+#ifdef GAP_TICKS
+		gap_left[d] = GAP_TICKS;
+#endif
+		checked[d]++ }
+	:: d_step { checked[d] > 0 -> checked[d]--; running[d]++; check_limit() }
+#else
+	:: d_step { !draining[d] && MAY_ADMIT(d) -> running[d]++; check_limit() }
+#endif
+#endif
+	/* Daemon 0 stands for any: the daemons are alike. */
+	:: d_step { d == 0 && crashes > 0 -> crash() }
+	od
+}
+
+inline lose(p)
+{
+	clear(p)
+}
+
+#define STEP_LOSE(p) :: d_step { message[p] != NONE -> lose(p) }
+
+proctype medium()
+{
+	do
+	STEP_LOSE(0) STEP_LOSE(1) STEP_LOSE(2)
+	STEP_LOSE(3) STEP_LOSE(4) STEP_LOSE(5)
+	STEP_LOSE(6) STEP_LOSE(7) STEP_LOSE(8)
+	od
+}
+
+proctype engine()
+{
+	do
+	:: d_step { running[0] > 0 -> running[0]-- }
+	:: d_step { running[1] > 0 -> running[1]-- }
+	:: d_step { running[2] > 0 -> running[2]-- }
+	:: d_step { orphans > 0 -> orphans-- }
+	od
+}
+
+inline age(p)
+{
+	if
+	:: message[p] == NONE -> skip
+	:: message[p] == GRANT - 1 || message[p] == GRANT + TTL - 1 -> clear(p)
+	:: else -> message[p]++
+	fi
+}
+
+inline down(x)
+{
+	if
+	:: x > 0 -> x--
+	:: else -> skip
+	fi
+}
+
+inline tick()
+{
+	for (i : 0 .. N - 1) {
+		down(loan[i]);
+		if
+		:: loan[i] == 0 -> holder[i] = NOBODY
+		:: else -> skip
+		fi;
+		down(wait[i]);
+		for (j : 0 .. N - 1) {
+			down(share[PAIR(i, j)]);
+			age(PAIR(i, j))
+		}
+		forget_report(i);
+#ifdef GAP_TICKS
+		down(gap_left[i]);
+#endif
+	}
+	i = 0;
+	j = 0
+}
+
+#ifdef GAP_TICKS
+#define GAPS_ALLOW_TICK \
+	((checked[0] == 0 || gap_left[0] > 0) && (checked[1] == 0 || gap_left[1] > 0) && \
+	 (checked[2] == 0 || gap_left[2] > 0))
+#else
+#define GAPS_ALLOW_TICK true
+#endif
+
+proctype clock()
+{
+	byte i;
+	byte j;
+	do
+	:: d_step { GAPS_ALLOW_TICK -> tick() }
+	od
+}
+
+/* Witnesses: each of these must fail, or the model is empty. */
+#ifdef WITNESS_SPLIT
+#define WITNESS (running[0] > 0 && running[1] > 0 && running[2] > 0)
+#endif
+#ifdef WITNESS_MOVED
+#define WITNESS (orphans == LIMIT && GRANTED(1) == N)
+#endif
+#ifdef WITNESS_FULL
+#define WITNESS (running[1] == LIMIT)
+#endif
+#ifdef WITNESS
+active proctype witness()
+{
+	d_step { WITNESS -> assert(false) }
+}
+#endif
+
+init
+{
+	byte d;
+	d_step {
+		for (d : 0 .. N - 1) {
+			holder[d] = NOBODY;
+			foreign[d] = UNKNOWN
+		}
+		d = 0
+	}
+	atomic {
+		run daemon(0);
+		run daemon(1);
+		run daemon(2);
+		run medium();
+		run engine();
+		run clock()
+	}
+}
--- /dev/null
+++ b/model/visible.pml
@@ -0,0 +1,58 @@
+/*
+ * A way weighed and given up: each daemon that takes itself for home scales
+ * the limit by the part of the published group that it sees.
+ *
+ * Links go up and down at any time. With -DTRANSITIVE only clean partitions
+ * occur; without it, A and B may each see C but not one another.
+ */
+#define PROPERTY(name, condition) assert(condition)
+
+#define N 3
+#define LIMIT 3
+
+bool down[N];             /* down[i]: no link between the other two daemons */
+byte running[N];
+
+#define SEES(d, e)  (d == e || !down[N - (d) - (e)])
+#define VISIBLE(d)  (SEES(d, 0) + SEES(d, 1) + SEES(d, 2))
+#define HOME(d)     (d == 0 || !SEES(d, 0)) && (d != 2 || !SEES(2, 1))
+#define ALLOWED(d)  ((VISIBLE(d) * LIMIT) / N)
+
+/* Two links up and one down is the only state that is not transitive. */
+#ifdef TRANSITIVE
+#define MAY_SERVE (down[0] + down[1] + down[2] != 1)
+#else
+#define MAY_SERVE true
+#endif
+#define IDLE (running[0] + running[1] + running[2] == 0)
+
+proctype daemon(byte d)
+{
+	do
+	:: d_step { MAY_SERVE && HOME(d) && running[d] < ALLOWED(d) ->
+		running[d]++;
+		/* The engine never runs more than the limit. */
+		PROPERTY(engine_limit, running[0] + running[1] + running[2] <= LIMIT) }
+	:: d_step { running[d] > 0 -> running[d]-- }
+	od
+}
+
+/* Links change only while the engine is idle: former work is not the point. */
+proctype network()
+{
+	do
+	:: d_step { IDLE -> down[0] = !down[0] }
+	:: d_step { IDLE -> down[1] = !down[1] }
+	:: d_step { IDLE -> down[2] = !down[2] }
+	od
+}
+
+init
+{
+	atomic {
+		run daemon(0);
+		run daemon(1);
+		run daemon(2);
+		run network()
+	}
+}
--- /dev/null
+++ b/scripts/model.sh
@@ -0,0 +1,113 @@
+#!/usr/bin/env bash
+# Runs the model checks of model/checks.txt: "model.sh check" or "model.sh mutants".
+# A counterexample to be read is shown by: model.sh trace SPECIFICATION SWITCH...
+set -uo pipefail
+cd "$(dirname "$0")/.."
+
+readonly MODEL_DIR=$PWD/model
+readonly OUT_DIR=$PWD/out/model
+readonly MEMORY_MB=${MODEL_MEMORY_MB:-1900} # for each search
+readonly MAX_DEPTH=${MODEL_MAX_DEPTH:-4000000}
+readonly JOBS=${MODEL_JOBS:-3}
+
+trim() { sed 's/^ *//; s/ *$//' <<<"$1"; }
+
+# Builds a verifier in directory $1 of specification $2 with C switches $3 and the other switches.
+build() {
+	local dir=$1 spec=$2 cflags=$3
+	shift 3
+	rm -rf "$dir" && mkdir -p "$dir" && cd "$dir" || return 1
+	spin -a "$@" "$spec" >spin.out 2>&1 || { cat spin.out; return 1; }
+	gcc -O2 -w -DSAFETY -DNOREDUCE -DMEMLIM=$MEMORY_MB $cflags -o pan pan.c
+}
+
+# Searches the whole state space in depth.
+search_all() { build "$@" && ./pan -m$MAX_DEPTH -w22 >pan.out 2>&1; }
+
+# Searches in breadth, so that a counterexample is a shortest one.
+search_shortest() { build "$1" "$2" -DBFS "${@:3}" && ./pan >pan.out 2>&1; }
+
+states() { sed -n 's/^ *\([0-9.e+]*\) states, stored.*/\1/p' pan.out; }
+complete() { grep -q 'errors: 0' pan.out && ! grep -qiE 'max search depth|out of memory|search not completed|truncated|error:' pan.out; }
+
+# Prints the property of specification $1 that the counterexample in this directory breaks.
+broken() {
+	local line
+	grep -q 'assertion violated' pan.out || { echo none; return; }
+	line=$(spin -k "$(basename "$1").trail" "${@:2}" "$1" 2>/dev/null | sed -n 's/^spin: .*:\([0-9]*\), Error: assertion violated.*/\1/p' | head -1)
+	sed -n "${line:-0}{s/.*PROPERTY(\([a-z_]*\),.*/\1/p;s/.*assert(false).*/witness/p}" "$1" 2>/dev/null
+}
+
+# Checks that the assertion of property $3 is reached: with a false condition it must fail.
+reached() {
+	local dir=$1 spec=$2 property=$3
+	mkdir -p "$dir"
+	sed "s/PROPERTY($property,.*)\( }\)\{0,1\}\$/PROPERTY($property, false)\1/" "$spec" >"$dir.pml"
+	cmp -s "$spec" "$dir.pml" && return 1
+	(search_shortest "$dir" "$dir.pml" "${@:4}" && [ "$(broken "$dir.pml" "${@:4}")" = "$property" ])
+}
+
+# Runs one line of checks.txt.
+run() {
+	local kind=$1 spec=$MODEL_DIR/$2 switches=$3 properties=$4 dir=$OUT_DIR/$5 property
+	local title="$2 $switches"
+	case $kind in
+	holds)
+		search_all "$dir" "$spec" "" $switches || { echo "FAIL $title: did not run"; return 1; }
+		complete || { echo "FAIL $title: incomplete, or $(broken "$spec" $switches) fails"; return 1; }
+		echo "ok   $title: $(states) states, all searched"
+		for property in $properties; do
+			reached "$dir-$property" "$spec" "$property" $switches ||
+				{ echo "FAIL $title: $property is never checked"; return 1; }
+			echo "ok       $property holds"
+		done
+		;;
+	reaches | expected | mutant)
+		search_shortest "$dir" "$spec" $switches || { echo "FAIL $title: did not run"; return 1; }
+		property=$(broken "$spec" $switches)
+		[ "$property" = "$properties" ] || { echo "FAIL $title: $properties should fail, but: ${property:-other error}"; return 1; }
+		echo "ok   $title: $kind, $property fails after $(states) states"
+		;;
+	*) echo "FAIL unknown kind $kind"; return 1 ;;
+	esac
+}
+
+# Runs the lines whose kind matches $1, JOBS at one time, and prints them in order.
+run_all() {
+	local wanted=$1 number=0 failed=0 file kind spec switches properties
+	rm -rf "$OUT_DIR" && mkdir -p "$OUT_DIR"
+	while IFS='|' read -r kind spec switches properties; do
+		kind=$(trim "$kind")
+		[[ $kind =~ ^($wanted)$ ]] || continue
+		number=$((number + 1))
+		while [ "$(jobs -rp | wc -l)" -ge "$JOBS" ]; do wait -n; done
+		(
+			name=$(printf '%03d' $number)
+			run "$kind" "$(trim "$spec")" "$(trim "$switches")" "$(trim "$properties")" "$name" >"$OUT_DIR/$name.log" 2>&1
+			echo $? >"$OUT_DIR/$name.rc"
+		) &
+	done < <(grep -vE '^(#|$)' "$MODEL_DIR/checks.txt")
+	wait
+	for file in "$OUT_DIR"/*.log; do
+		cat "$file"
+		[ "$(cat "${file%.log}.rc" 2>/dev/null)" = 0 ] || failed=$((failed + 1))
+	done
+	echo "$number runs, $failed failed"
+	[ "$number" -gt 0 ] && [ "$failed" = 0 ]
+}
+
+# Prints the shortest counterexample of a specification with switches.
+trace() {
+	local spec=$MODEL_DIR/$1
+	shift
+	search_shortest "$OUT_DIR-trace" "$spec" "$@"
+	spin -k "$(basename "$spec").trail" -p -g "$@" "$spec"
+}
+
+command -v spin >/dev/null || { echo "spin is not installed"; exit 1; }
+case ${1:-} in
+check) run_all 'holds|reaches|expected' ;;
+mutants) run_all mutant ;;
+trace) trace "${@:2}" ;;
+*) echo "usage: model.sh check | mutants | trace SPECIFICATION SWITCH..."; exit 2 ;;
+esac
