model: tickets run at most once

Cause: it had to be shown that a booking runs at most once and that "not run" is never told of one that ran or still may run, with messages that are lost, late, repeated or reach another incarnation.

Change: ticket.pml. A message that was sent may be delivered never, late, often and to a later incarnation; the connection to the backend server breaks before or after the server ran the request. A run may now check some properties of a specification alone, so that each mutant is held to the property it is about.

Ruled out, each by a counterexample: a refusal "not run" that leaves the ticket unused; "not run" by a daemon that has not forwarded the ticket itself; "not run" for an expired ticket that the book no longer remembers; VOIDED told by a later incarnation; a transport that repeats the write.

Three tickets with one crash were not finished within a minute: not run.

Conclusion: each "not run" of the executor moves the ticket to voided, and nobody else says it without VOIDED from the incarnation that is named.

--- /dev/null
+++ b/model/ticket.pml
@@ -0,0 +1,313 @@
+/*
+ * Tickets: a booking runs at most once.
+ *
+ * A caller has one booking and up to TICKETS tickets for it, one after
+ * another. A ticket names one incarnation of one daemon, its executor. A
+ * message that was sent stays under way for good: it may be delivered never,
+ * late, often, and to a later incarnation at the same address. A daemon is
+ * paused whenever it takes no step.
+ */
+#define PROPERTY(name, condition) assert(condition)
+
+#define DAEMONS 2
+#ifndef TICKETS
+#define TICKETS 2
+#endif
+#ifndef CRASHES
+#define CRASHES 2
+#endif
+
+/* States of a ticket in the executor's book. */
+#define UNUSED   0
+#define STARTED  1
+#define ANSWERED 2
+#define BROKEN   3        /* the connection broke after the first byte */
+#define VOIDED   4
+
+/* States of the connection to the backend server. */
+#define CLOSED   0
+#define WRITTEN  1        /* the request is under way */
+#define RAN      2        /* the answer is under way */
+
+byte incarnation[DAEMONS];
+byte crashes = CRASHES;
+
+byte issued;              /* tickets that the caller has taken */
+byte executor[TICKETS];
+byte named[TICKETS];      /* incarnation that the ticket names */
+bool expired[TICKETS];    /* by the executor's monotonic clock */
+bool dropped[TICKETS];    /* past the time for which the book keeps tickets */
+byte book[TICKETS];       /* memory of the named incarnation */
+bool wrote[TICKETS];      /* it has begun to write the request */
+
+bool request[TICKETS * DAEMONS]; /* caller to daemon */
+bool forward[TICKETS];    /* daemon to executor */
+bool withdrawal[TICKETS];       /* VoidTicket to executor */
+bool voided[TICKETS];     /* its answer VOIDED */
+bool not_run[TICKETS];    /* told to the caller */
+bool unknown[TICKETS];
+bool answer[TICKETS];
+
+byte connection[TICKETS];
+bool ran[TICKETS];
+byte ledger;              /* runs of the booking at the backend server */
+
+#define TO(k, d)      request[(k) * DAEMONS + (d)]
+#define LATEST        (issued - 1)
+
+/* seal/ticket.Open and (*Book).Start compare the incarnation. */
+#ifdef MUT_OTHER_INCARNATION
+#define IS_EXECUTOR(k, d) (issued > k && executor[k] == d)
+#else
+#define IS_EXECUTOR(k, d) (issued > k && executor[k] == d && named[k] == incarnation[d])
+#endif
+#define IS_DEAD(k, d) (issued > k && executor[k] == d && named[k] != incarnation[d])
+#define ARRIVED(k, d) (TO(k, d) || forward[k])
+#define OUTCOME_SENT(k) (not_run[k] || unknown[k] || answer[k])
+
+inline tell_not_run(k)
+{
+	/* "Not run" is told only of a booking that did not run. */
+	PROPERTY(not_run_is_true, !ran[k]);
+	not_run[k] = true
+}
+
+inline tell_answer(k)
+{
+	/* An answer is told only if the booking ran. */
+	PROPERTY(answer_is_true, ran[k]);
+	answer[k] = true
+}
+
+/* (*Book).Start: once from unused to started, under one lock. */
+#ifdef MUT_RUN_ON_RESEND
+#define MAY_START(k) (book[k] == UNUSED || book[k] == STARTED || book[k] == BROKEN)
+#else
+#define MAY_START(k) (book[k] == UNUSED)
+#endif
+
+#ifdef MUT_VOID_NOT_REMEMBERED
+#define REMEMBER_VOID(k) skip
+#else
+#define REMEMBER_VOID(k) book[k] = VOIDED
+#endif
+
+/* A refusal at admission voids the ticket as well. */
+#ifdef MUT_REFUSE_WITHOUT_VOID
+#define REMEMBER_REFUSAL(k) skip
+#else
+#define REMEMBER_REFUSAL(k) book[k] = VOIDED
+#endif
+
+#define STEP_EXECUTOR(k) \
+	/* (*Book).Start */ \
+	:: d_step { IS_EXECUTOR(k, d) && ARRIVED(k, d) && MAY_START(k) && !expired[k] -> \
+		book[k] = STARTED; wrote[k] = false } \
+	:: d_step { IS_EXECUTOR(k, d) && ARRIVED(k, d) && book[k] == UNUSED && !expired[k] -> \
+		REMEMBER_REFUSAL(k); tell_not_run(k) } \
+	/* One write to the backend server; the transport never repeats it. */ \
+	:: d_step { IS_EXECUTOR(k, d) && book[k] == STARTED && connection[k] == CLOSED && MAY_WRITE(k) -> \
+		connection[k] = WRITTEN; wrote[k] = true } \
+	/* (*Book).Finish: no byte was written. */ \
+	:: d_step { IS_EXECUTOR(k, d) && book[k] == STARTED && connection[k] == CLOSED && !wrote[k] -> \
+		book[k] = VOIDED; tell_not_run(k) } \
+	/* (*Book).Finish: the whole answer came. */ \
+	:: d_step { IS_EXECUTOR(k, d) && book[k] == STARTED && connection[k] == RAN -> \
+		book[k] = ANSWERED; connection[k] = CLOSED; tell_answer(k) } \
+	/* (*Book).Finish: the connection broke, the request may run yet. */ \
+	:: d_step { IS_EXECUTOR(k, d) && book[k] == STARTED && wrote[k] -> \
+		book[k] = BROKEN; tell_broken(k) } \
+	/* A resend gets the kept outcome. */ \
+	:: d_step { IS_EXECUTOR(k, d) && ARRIVED(k, d) && book[k] == ANSWERED && !dropped[k] && !answer[k] -> \
+		tell_answer(k) } \
+	:: d_step { IS_EXECUTOR(k, d) && ARRIVED(k, d) && book[k] == VOIDED && !dropped[k] && !not_run[k] -> \
+		tell_not_run(k) } \
+	/* Refused as expired, while the book surely knows that it never started. */ \
+	:: d_step { IS_EXECUTOR(k, d) && ARRIVED(k, d) && expired[k] && MAY_TELL_EXPIRED(k) && !not_run[k] -> \
+		tell_not_run(k) } \
+	/* (*Book).Void */ \
+	:: d_step { IS_EXECUTOR(k, d) && withdrawal[k] && MAY_VOID(k) && !voided[k] -> \
+		REMEMBER_VOID(k); voided[k] = true }
+
+#define MAY_VOID(k) (!dropped[k] && (book[k] == UNUSED || book[k] == VOIDED))
+
+#ifdef MUT_FORGET_EXPIRED
+#define MAY_TELL_EXPIRED(k) (book[k] == UNUSED || dropped[k])
+#else
+#define MAY_TELL_EXPIRED(k) (book[k] == UNUSED && !dropped[k])
+#endif
+
+#ifdef MUT_TRANSPORT_RETRY
+#define MAY_WRITE(k) true
+#else
+#define MAY_WRITE(k) (!wrote[k])
+#endif
+
+inline tell_broken(k)
+{
+#ifdef MUT_NOT_RUN_AFTER_WRITE
+	tell_not_run(k)
+#else
+	unknown[k] = true
+#endif
+}
+
+/* Any other daemon forwards; a dead incarnation's ticket never runs. */
+#define STEP_FORWARDER(k) \
+	:: d_step { issued > k && executor[k] != d && TO(k, d) && !forward[k] -> forward[k] = true } \
+	:: d_step { issued > k && executor[k] != d && TO(k, d) && !withdrawal[k] -> withdrawal[k] = true } \
+	:: d_step { issued > k && executor[k] != d && TO(k, d) && MAY_TELL_VOIDED(k) && !not_run[k] -> \
+		tell_not_run(k) } \
+	:: d_step { issued > k && executor[k] != d && TO(k, d) && !unknown[k] -> unknown[k] = true } \
+	:: d_step { IS_DEAD(k, d) && ARRIVED(k, d) && MAY_TELL_DEAD(k) -> tell_dead(k) } \
+	STEP_VOID_DEAD(k)
+
+/* Only VOIDED lets a forwarder say "not run": silence or UNKNOWN do not. */
+#if defined(MUT_NOT_RUN_ON_SILENCE)
+#define MAY_TELL_VOIDED(k) (withdrawal[k])
+#elif defined(MUT_NOT_RUN_BEFORE_FORWARD)
+#define MAY_TELL_VOIDED(k) (!forward[k])
+#else
+#define MAY_TELL_VOIDED(k) (voided[k])
+#endif
+
+#define MAY_TELL_DEAD(k) (!unknown[k])
+inline tell_dead(k)
+{
+#ifdef MUT_NOT_RUN_WHEN_DEAD
+	tell_not_run(k);
+#endif
+	unknown[k] = true
+}
+
+/* A later incarnation knows nothing of the ticket and answers UNKNOWN. */
+#ifdef MUT_VOID_BY_OTHER_INCARNATION
+#define STEP_VOID_DEAD(k) \
+	:: d_step { IS_DEAD(k, d) && withdrawal[k] && !voided[k] -> voided[k] = true }
+#else
+#define STEP_VOID_DEAD(k)
+#endif
+
+inline crash_book(k)
+{
+	if
+	:: issued > k && executor[k] == d -> book[k] = UNUSED; wrote[k] = false;
+		/* The connection is gone; a request under way may still run. */
+		if
+		:: connection[k] == RAN -> connection[k] = CLOSED
+		:: else -> skip
+		fi
+	:: else -> skip
+	fi
+}
+
+inline crash()
+{
+	crashes--;
+	incarnation[d]++;
+#if TICKETS > 2
+	crash_book(2);
+#endif
+	crash_book(1);
+	crash_book(0)
+}
+
+proctype daemon(byte d)
+{
+end:
+	do
+	STEP_EXECUTOR(0) STEP_FORWARDER(0)
+	STEP_EXECUTOR(1) STEP_FORWARDER(1)
+#if TICKETS > 2
+	STEP_EXECUTOR(2) STEP_FORWARDER(2)
+#endif
+	:: d_step { crashes > 0 -> crash() }
+	od
+}
+
+inline run_booking(k)
+{
+	connection[k] = RAN;
+	ran[k] = true;
+	ledger++;
+	/* The ledger never shows two runs, and none after "not run". */
+	PROPERTY(at_most_once, ledger <= 1);
+	PROPERTY(never_after_not_run, !not_run[k])
+}
+
+#define STEP_SERVER(k) \
+	:: d_step { connection[k] == WRITTEN -> run_booking(k) } \
+	:: d_step { connection[k] == WRITTEN -> connection[k] = CLOSED } \
+	:: d_step { connection[k] == RAN -> connection[k] = CLOSED } \
+	/* Time passes for a ticket. */ \
+	:: d_step { issued > k && !expired[k] -> expired[k] = true } \
+	/* Past the time to keep: only a ticket with a final state is dropped. */ \
+	:: d_step { expired[k] && !dropped[k] && book[k] != STARTED -> dropped[k] = true }
+
+proctype server()
+{
+end:
+	do
+	STEP_SERVER(0)
+	STEP_SERVER(1)
+#if TICKETS > 2
+	STEP_SERVER(2)
+#endif
+	od
+}
+
+/* A new ticket only after "not run". */
+#ifdef MUT_NEW_AFTER_UNKNOWN
+#define MAY_TAKE_NEW (not_run[LATEST] || unknown[LATEST])
+#else
+#define MAY_TAKE_NEW (not_run[LATEST])
+#endif
+
+inline take_ticket(d)
+{
+	executor[issued] = d;
+	named[issued] = incarnation[d];
+	issued++
+}
+
+proctype caller()
+{
+end:
+	do
+	:: d_step { issued == 0 -> take_ticket(0) }
+	:: d_step { issued > 0 && issued < TICKETS && MAY_TAKE_NEW -> take_ticket(0) }
+	:: d_step { issued > 0 && issued < TICKETS && MAY_TAKE_NEW -> take_ticket(1) }
+	:: d_step { issued > 0 && !TO(LATEST, 0) -> TO(LATEST, 0) = true }
+	:: d_step { issued > 0 && !TO(LATEST, 1) -> TO(LATEST, 1) = true }
+	od
+}
+
+/* Witnesses: each of these must fail, or the model is empty. */
+#ifdef WITNESS_SECOND_TICKET
+#define WITNESS (ran[1] && answer[1])
+#endif
+#ifdef WITNESS_RAN_AFTER_CRASH
+#define WITNESS (ran[0] && IS_DEAD(0, 0) && connection[0] == RAN)
+#endif
+#ifdef WITNESS_BROKEN_BUT_RAN
+#define WITNESS (ran[0] && unknown[0] && book[0] == BROKEN)
+#endif
+#ifdef WITNESS_VOIDED
+#define WITNESS (voided[0] && not_run[0] && forward[0])
+#endif
+#ifdef WITNESS
+active proctype witness()
+{
+	d_step { WITNESS -> assert(false) }
+}
+#endif
+
+init
+{
+	atomic {
+		run daemon(0);
+		run daemon(1);
+		run server();
+		run caller()
+	}
+}
--- a/scripts/model.sh
+++ b/scripts/model.sh
@@ -38,19 +38,34 @@
 	sed -n "${line:-0}{s/.*PROPERTY(\([a-z_]*\),.*/\1/p;s/.*assert(false).*/witness/p}" "$1" 2>/dev/null
 }
 
+# Writes a copy of specification $1 to $2 that checks only the other arguments, its properties.
+keep() {
+	local spec=$1 copy=$2 property
+	cp "$spec" "$copy"
+	for property in $(sed -n 's/.*[^ ]*PROPERTY(\([a-z_]*\),.*/\1/p' "$spec" | grep -vx name); do
+		[[ " ${*:3} " == *" $property "* ]] || set_condition "$copy" "$property" true
+	done
+}
+
+# Replaces the condition of property $2 in file $1 by $3.
+set_condition() { sed -i "s/PROPERTY($2,.*)\( }\|;\)\{0,1\}\$/PROPERTY($2, $3)\1/" "$1"; }
+
 # Checks that the assertion of property $3 is reached: with a false condition it must fail.
 reached() {
-	local dir=$1 spec=$2 property=$3
-	mkdir -p "$dir"
-	sed "s/PROPERTY($property,.*)\( }\)\{0,1\}\$/PROPERTY($property, false)\1/" "$spec" >"$dir.pml"
-	cmp -s "$spec" "$dir.pml" && return 1
-	(search_shortest "$dir" "$dir.pml" "${@:4}" && [ "$(broken "$dir.pml" "${@:4}")" = "$property" ])
+	local dir=$1 copy=$1.pml property=$3
+	keep "$2" "$copy" "$property"
+	set_condition "$copy" "$property" false
+	grep -q "PROPERTY($property, false)" "$copy" || return 1
+	(search_shortest "$dir" "$copy" "${@:4}" && [ "$(broken "$copy" "${@:4}")" = "$property" ])
 }
 
 # Runs one line of checks.txt.
 run() {
 	local kind=$1 spec=$MODEL_DIR/$2 switches=$3 properties=$4 dir=$OUT_DIR/$5 property
 	local title="$2 $switches"
+	mkdir -p "$dir"
+	keep "$spec" "$dir.pml" $properties
+	spec=$dir.pml
 	case $kind in
 	holds)
 		search_all "$dir" "$spec" "" $switches || { echo "FAIL $title: did not run"; return 1; }
