fleet/mtls: roles in certificates instead of host names

Cause: peers are named by IP and replaced at any time, so a host name in a certificate proves nothing; the ports differ in who may use them. Ruled out: one CA for each role, which doubles what operators rotate; resumed sessions, which would skip the check of the chain. The test's handshakes run over loopback TCP: over net.Pipe, which has no buffer, both sides wrote at once and the first run hung until its timeout. Conclusion: foreign CA, expired certificate, wrong role and no certificate are refused by test.

--- /dev/null
+++ b/fleet/mtls/mtls_test.go
@@ -0,0 +1,216 @@
+package mtls_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"errors"
+	"math/big"
+	"net"
+	"net/url"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cassialatch.dev/config/setting"
+	"cassialatch.dev/fleet/mtls"
+)
+
+// authority is a CA for one test.
+type authority struct {
+	t    *testing.T
+	dir  string
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T) *authority {
+	a := &authority{t: t, dir: t.TempDir()}
+	a.cert, a.key = a.sign("ca", &x509.Certificate{
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		KeyUsage:              x509.KeyUsageCertSign,
+		NotAfter:              time.Now().Add(time.Hour),
+	})
+	return a
+}
+
+// sign writes <name>.pem and <name>-key.pem.
+func (a *authority) sign(name string, c *x509.Certificate) (*x509.Certificate, *ecdsa.PrivateKey) {
+	is := is.New(a.t)
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	is.NoErr(err)
+	c.SerialNumber = big.NewInt(time.Now().UnixNano())
+	c.NotBefore = time.Now().Add(-24 * time.Hour)
+	parent, signer := a.cert, a.key
+	if parent == nil {
+		parent, signer = c, key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, c, parent, &key.PublicKey, signer)
+	is.NoErr(err)
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	is.NoErr(err)
+	a.write(name+".pem", "CERTIFICATE", der)
+	a.write(name+"-key.pem", "PRIVATE KEY", keyDER)
+	parsed, err := x509.ParseCertificate(der)
+	is.NoErr(err)
+	return parsed, key
+}
+
+func (a *authority) write(name, kind string, der []byte) {
+	data := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+	is.New(a.t).NoErr(os.WriteFile(filepath.Join(a.dir, name), data, 0o600))
+}
+
+// files issues a certificate for the role and names its files.
+func (a *authority) files(role mtls.Role, notAfter time.Time) setting.TLS {
+	a.sign(string(role), &x509.Certificate{
+		KeyUsage:    x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+		URIs:        []*url.URL{mtls.RoleURI(role, "vm-1")},
+		NotAfter:    notAfter,
+	})
+	return setting.TLS{
+		Mode: setting.TLSMutual,
+		CA:   filepath.Join(a.dir, "ca.pem"),
+		Cert: filepath.Join(a.dir, string(role)+".pem"),
+		Key:  filepath.Join(a.dir, string(role)+"-key.pem"),
+	}
+}
+
+func (a *authority) config(role mtls.Role, notAfter time.Time) (server, client *tls.Config) {
+	server, client, err := mtls.Config(a.files(role, notAfter))
+	is.New(a.t).NoErr(err)
+	return server, client
+}
+
+// handshakeTimeout ends a handshake that hangs; no test waits for it.
+const handshakeTimeout = 20 * time.Second
+
+// handshake returns what each side saw.
+func handshake(t *testing.T, server, client *tls.Config) (serverErr, clientErr error) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	near, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	defer near.Close()
+	far, err := listener.Accept()
+	is.NoErr(err)
+	deadline := time.Now().Add(handshakeTimeout)
+	is.NoErr(near.SetDeadline(deadline))
+	is.NoErr(far.SetDeadline(deadline))
+
+	done := make(chan error, 1)
+	go func() {
+		defer far.Close()
+		done <- tls.Server(far, server).HandshakeContext(t.Context())
+	}()
+	clientErr = tls.Client(near, client).HandshakeContext(t.Context())
+	if clientErr != nil {
+		near.Close()
+	}
+	return <-done, clientErr
+}
+
+func inAnHour() time.Time { return time.Now().Add(time.Hour) }
+
+func TestPeerPortTakesDaemonsOnly(t *testing.T) {
+	is := is.New(t)
+	ca := newAuthority(t)
+	peerPort, daemon := ca.config(mtls.RoleDaemon, inAnHour())
+	_, operator := ca.config(mtls.RoleOperator, inAnHour())
+	operatorPort := mtls.ForOperators(peerPort)
+
+	err, _ := handshake(t, peerPort, daemon)
+	is.NoErr(err)
+	err, _ = handshake(t, operatorPort, daemon)
+	is.NoErr(err)
+	err, _ = handshake(t, operatorPort, operator)
+	is.NoErr(err)
+
+	err, _ = handshake(t, peerPort, operator)
+	var role *mtls.RoleError
+	is.True(errors.As(err, &role))
+	is.Equal(role.Found, []mtls.Role{mtls.RoleOperator})
+}
+
+func TestClientTakesDaemonsOnly(t *testing.T) {
+	is := is.New(t)
+	ca := newAuthority(t)
+	impostor, _ := ca.config(mtls.RoleOperator, inAnHour())
+	_, daemon := ca.config(mtls.RoleDaemon, inAnHour())
+	_, err := handshake(t, impostor, daemon)
+	var role *mtls.RoleError
+	is.True(errors.As(err, &role))
+}
+
+func TestForeignAuthorityIsRefusedByBothSides(t *testing.T) {
+	is := is.New(t)
+	server, client := newAuthority(t).config(mtls.RoleDaemon, inAnHour())
+	foreignServer, foreignClient := newAuthority(t).config(mtls.RoleDaemon, inAnHour())
+	var unknown x509.UnknownAuthorityError
+	_, err := handshake(t, foreignServer, client)
+	is.True(errors.As(err, &unknown))
+	foreignClient.InsecureSkipVerify = true
+	foreignClient.VerifyConnection = nil
+	err, _ = handshake(t, server, foreignClient)
+	is.True(errors.As(err, &unknown))
+}
+
+func TestExpiredCertificateIsRefusedByBothSides(t *testing.T) {
+	is := is.New(t)
+	ca := newAuthority(t)
+	expiredServer, expiredClient := ca.config(mtls.RoleDaemon, time.Now().Add(-time.Hour))
+	server, client := ca.config(mtls.RoleDaemon, inAnHour())
+	var invalid x509.CertificateInvalidError
+	_, err := handshake(t, expiredServer, client)
+	is.True(errors.As(err, &invalid))
+	err, _ = handshake(t, server, expiredClient)
+	is.True(errors.As(err, &invalid))
+	is.Equal(invalid.Reason, x509.Expired)
+}
+
+func TestClientWithoutCertificateIsRefused(t *testing.T) {
+	is := is.New(t)
+	server, client := newAuthority(t).config(mtls.RoleDaemon, inAnHour())
+	client.Certificates = nil
+	err, _ := handshake(t, server, client)
+	is.True(err != nil)
+}
+
+func TestBadFilesAreNamed(t *testing.T) {
+	is := is.New(t)
+	good := newAuthority(t).files(mtls.RoleDaemon, inAnHour())
+	for _, spoil := range []func(*setting.TLS) string{
+		func(s *setting.TLS) string { s.CA = "missing-ca"; return s.CA },
+		func(s *setting.TLS) string { s.CA = s.Key; return s.CA },
+		func(s *setting.TLS) string { s.Cert = "missing-cert"; return s.Cert },
+		func(s *setting.TLS) string { s.Key = "missing-key"; return s.Key },
+		func(s *setting.TLS) string { s.Cert = s.CA; return s.Cert }, // key of another
+	} {
+		bad := good
+		name := spoil(&bad)
+		_, _, err := mtls.Config(bad)
+		var file *mtls.FileError
+		is.True(errors.As(err, &file))
+		is.Equal(file.File, name)
+	}
+}
+
+func TestModeMustBeSaid(t *testing.T) {
+	is := is.New(t)
+	server, client, err := mtls.Config(setting.TLS{Mode: setting.TLSOff})
+	is.NoErr(err)
+	is.True(server == nil && client == nil && mtls.ForOperators(server) == nil)
+	_, _, err = mtls.Config(setting.TLS{})
+	var mode *mtls.ModeError
+	is.True(errors.As(err, &mode))
+}
