fleet/traffic: counted and limited control traffic

Cause: each daemon may spend a few kilobytes a second, counted on every control connection and held to, not only reported. Ruled out: a bucket for each kind, which leaves budget unused that another kind needs; charging only what asks first, which misses what peers send to us. Change: one token bucket that all bytes on wrapped connections are charged to, once.

--- /dev/null
+++ b/fleet/traffic/conn.go
@@ -0,0 +1,28 @@
+package traffic
+
+import "net"
+
+// Conn returns c with its bytes counted under kind.
+func (m *Meter) Conn(kind Kind, c net.Conn) net.Conn {
+	return &conn{Conn: c, meter: m, kind: kind}
+}
+
+type conn struct {
+	net.Conn
+	meter *Meter
+	kind  Kind
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.meter.count(c.kind, 0, n)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.meter.count(c.kind, n, 0)
+	return n, err
+}
