fleet/metric: histograms by workspace and class

Cause: operators need histograms for each workspace, but thousands of workspaces don't fit in each daemon's memory. Ruled out: labels by first come for the life of the process, which leaves a workspace that surges later without histograms; an exact count of all workspaces; looking up "other" under a lock for each token. Change: tally with its Prometheus reporter. A space-saving sketch picks the busiest workspaces; one that is more than twice as busy takes over the least busy label, at most one in 16384 requests. The loser's scopes are closed and its Prometheus children deleted, which tally alone doesn't do. The per-token path reads an immutable table. Conclusion: series stay bounded for any names (rapid), equally busy workspaces never swap labels, and a regained label is served again.

--- /dev/null
+++ b/fleet/metric/metric_test.go
@@ -0,0 +1,179 @@
+package metric
+
+import (
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"cassialatch.dev/outcome"
+	"cassialatch.dev/wire/operatorapi"
+)
+
+func newMetrics(t testing.TB, workspaces int) *Metrics {
+	m, err := New(Options{MaxWorkspaces: workspaces})
+	is.New(t).NoErr(err)
+	return m
+}
+
+// scrape closes m, which reports all that was counted, and returns the page.
+func scrape(t *testing.T, m *Metrics) string {
+	is.New(t).NoErr(m.Close())
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	return w.Body.String()
+}
+
+func has(t *testing.T, page, line string) {
+	t.Helper()
+	if !strings.Contains(page, line+"\n") {
+		t.Errorf("no line %q in\n%s", line, page)
+	}
+}
+
+func TestWorkspaceHasHistogramsAndOutcomes(t *testing.T) {
+	m := newMetrics(t, 2)
+	m.Outcome("skole", "short", outcome.Answered, "")
+	m.Outcome("skole", "short", outcome.NotRun, outcome.CodeOverloaded)
+	m.FirstToken("skole", "short", 30*time.Millisecond)
+	m.BetweenTokens("skole", "short", 3*time.Millisecond)
+	m.QueueWait("skole", "short", 300*time.Millisecond)
+	m.Answer("skole", "short", 3*time.Second)
+	page := scrape(t, m)
+	for _, line := range []string{
+		`cassialatch_first_token_seconds_bucket{class="short",workspace="skole",le="0.02"} 0`,
+		`cassialatch_first_token_seconds_bucket{class="short",workspace="skole",le="0.05"} 1`,
+		`cassialatch_between_tokens_seconds_bucket{class="short",workspace="skole",le="0.005"} 1`,
+		`cassialatch_queue_wait_seconds_bucket{class="short",workspace="skole",le="0.5"} 1`,
+		`cassialatch_answer_seconds_bucket{class="short",workspace="skole",le="5"} 1`,
+		`cassialatch_requests_total{class="short",code="",outcome="answered",workspace="skole"} 1`,
+		`cassialatch_requests_total{class="short",code="overloaded",outcome="not-run",workspace="skole"} 1`,
+	} {
+		has(t, page, line)
+	}
+}
+
+func TestControlMetricsAreServed(t *testing.T) {
+	m := newMetrics(t, 0)
+	m.LeasesHeld(3)
+	m.LeasesLent(4)
+	m.Homes(5)
+	m.Quarantined(6)
+	m.Retry()
+	m.Hedge(HedgeWon)
+	m.ControlTraffic([]operatorapi.Traffic{{Kind: "peer", SentB: 10, ReadB: 5, PerSec: 1.5, Deferred: 2}})
+	m.ControlTraffic([]operatorapi.Traffic{{Kind: "peer", SentB: 30, ReadB: 5, PerSec: 2.5, Deferred: 2}})
+	page := scrape(t, m)
+	for _, line := range []string{
+		`cassialatch_leases_held 3`, `cassialatch_leases_lent 4`,
+		`cassialatch_homes 5`, `cassialatch_quarantined 6`,
+		`cassialatch_retries_total 1`, `cassialatch_hedges_total{result="won"} 1`,
+		`cassialatch_control_bytes_total{kind="peer",way="sent"} 30`,
+		`cassialatch_control_bytes_total{kind="peer",way="read"} 5`,
+		`cassialatch_control_deferred_total{kind="peer"} 2`,
+		`cassialatch_control_bytes_per_second{kind="peer"} 2.5`,
+	} {
+		has(t, page, line)
+	}
+}
+
+func TestBusierWorkspaceTakesOverTheLabel(t *testing.T) {
+	is := is.New(t)
+	m := newMetrics(t, 1)
+	m.Outcome("first", "c", outcome.Answered, "")
+	m.Answer("first", "c", time.Second)
+	for range epochRequests {
+		m.Outcome("busy", "c", outcome.Answered, "")
+	}
+	m.Answer("busy", "c", time.Second)
+	m.Answer("first", "c", time.Second)
+	page := scrape(t, m)
+	is.True(!strings.Contains(page, `workspace="first"`)) // no longer served
+	has(t, page, `cassialatch_answer_seconds_count{class="c",workspace="busy"} 1`)
+	has(t, page, `cassialatch_answer_seconds_count{class="c",workspace="other"} 1`)
+}
+
+func TestWorkspaceThatRegainsItsLabelIsServed(t *testing.T) {
+	m := newMetrics(t, 1)
+	m.Outcome("first", "c", outcome.Answered, "")
+	for range epochRequests {
+		m.Outcome("busy", "c", outcome.Answered, "")
+	}
+	for range 3 * epochRequests {
+		m.Outcome("first", "c", outcome.Answered, "")
+	}
+	m.Answer("first", "c", time.Second)
+	m.Outcome("first", "c", outcome.Unknown, outcome.CodeDeadline)
+	page := scrape(t, m)
+	has(t, page, `cassialatch_answer_seconds_count{class="c",workspace="first"} 1`)
+	has(t, page, `cassialatch_requests_total{class="c",code="deadline_exceeded",outcome="unknown",workspace="first"} 1`)
+}
+
+func TestSeriesAreBoundedWhateverTheNames(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := newMetrics(t, 3)
+		defer m.Close()
+		for range 200 {
+			ws := rapid.String().Draw(rt, "workspace")
+			class := rapid.String().Draw(rt, "class")
+			m.BetweenTokens(ws, class, time.Millisecond)
+			m.Outcome(ws, class, outcome.Answered, "")
+		}
+		if n := len(m.table.Load().series); n > (3+1)*(maxClasses+1) {
+			rt.Fatalf("%d series", n)
+		}
+	})
+}
+
+func TestLabelsOfEquallyBusyWorkspacesDoNotFlap(t *testing.T) {
+	is := is.New(t)
+	b := newBusiest(4)
+	for i := range 20 * epochRequests {
+		c := b.record(fmt.Sprint("w", i%12))
+		is.Equal(c.demoted, "")
+	}
+	is.Equal(b.holders, 4)
+	is.True(len(b.items) <= 4*trackedPerSlot)
+}
+
+func TestSketchStaysBoundedAndFindsTheBusy(t *testing.T) {
+	is := is.New(t)
+	b := newBusiest(2)
+	b.record("idle-1")
+	b.record("idle-2")
+	for i := range 4 * epochRequests {
+		b.record("busy")
+		b.record(fmt.Sprint("once-", i))
+	}
+	is.True(b.items["busy"].holder)
+	is.Equal(b.holders, 2)
+	is.Equal(len(b.items), 2*trackedPerSlot)
+	is.Equal(len(b.order), 2*trackedPerSlot)
+}
+
+func TestNegativeBoundIsRefused(t *testing.T) {
+	_, err := New(Options{MaxWorkspaces: -1})
+	var bad *OptionsError
+	is.New(t).True(errors.As(err, &bad))
+}
+
+func BenchmarkBetweenTokens(b *testing.B) {
+	m := newMetrics(b, 32)
+	defer m.Close()
+	for i := range 64 {
+		m.Outcome(fmt.Sprint("workspace-", i), "short", outcome.Answered, "")
+	}
+	for name, ws := range map[string]string{"labelled": "workspace-7", "other": "workspace-60"} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				m.BetweenTokens(ws, "short", 12*time.Millisecond)
+			}
+		})
+	}
+}
