warm: bounded index from prompt prefixes to backend servers

Cause: a chat that returns without its token, or shares a long prompt with others, should still find the backend server that holds its prefix. Ruled out: dropping all of a backend server at each gap of its cache events (most of it is still there); trusting events as truth (they come late).

--- /dev/null
+++ b/fleet/warm/warm_test.go
@@ -0,0 +1,105 @@
+package warm
+
+import (
+	"testing"
+
+	"cassialatch.dev/wire/engineapi"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestLookupFindsTheLongestPrefixThatIsHeld(t *testing.T) {
+	is := is.New(t)
+	x := New(100)
+	messages := []engineapi.Message{{Role: "system", Content: "s"}, {Role: "user", Content: "a"}, {Role: "user", Content: "b"}}
+	prefixes := Prefixes("m", messages)
+	x.Stored(prefixes[0], "r1")
+	x.Stored(prefixes[1], "r2")
+	name, depth := x.Lookup(prefixes)
+	is.Equal(name, "r2")
+	is.Equal(depth, 2)
+	x.Evicted(prefixes[1], "r2")
+	name, depth = x.Lookup(prefixes)
+	is.Equal(name, "r1")
+	is.Equal(depth, 1)
+	x.Forget("r1")
+	_, depth = x.Lookup(prefixes)
+	is.Equal(depth, 0)
+}
+
+func TestGapRanksAHolderBehindAndASecondDropsIt(t *testing.T) {
+	is := is.New(t)
+	x := New(100)
+	x.Stored(1, "sure")
+	x.Stored(1, "doubtful") // the latest
+	name, _ := x.Lookup([]uint64{1})
+	is.Equal(name, "doubtful")
+	x.Gap("doubtful")
+	name, _ = x.Lookup([]uint64{1})
+	is.Equal(name, "sure")
+	x.Evicted(1, "sure")
+	name, _ = x.Lookup([]uint64{1})
+	is.Equal(name, "doubtful")
+	x.Gap("doubtful")
+	_, depth := x.Lookup([]uint64{1})
+	is.Equal(depth, 0)
+	x.Stored(1, "doubtful")
+	_, depth = x.Lookup([]uint64{1})
+	is.Equal(depth, 1)
+}
+
+// Without gaps and within its bounds the index agrees with a plain set.
+func TestIndexAgreesWithItsEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		x := New(8)
+		type pair struct {
+			prefix  uint64
+			backend string
+		}
+		held := map[pair]bool{}
+		for range rapid.IntRange(1, 100).Draw(t, "events") {
+			p := pair{rapid.Uint64Range(1, 12).Draw(t, "prefix"), rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "backend")}
+			switch rapid.IntRange(0, 4).Draw(t, "kind") {
+			case 0:
+				x.Evicted(p.prefix, p.backend)
+				delete(held, p)
+			case 1:
+				x.Forget(p.backend)
+				for q := range held {
+					if q.backend == p.backend {
+						delete(held, q)
+					}
+				}
+			default:
+				x.Stored(p.prefix, p.backend)
+				held[p] = true
+			}
+			if name, depth := x.Lookup([]uint64{p.prefix}); depth > 0 && !held[pair{p.prefix, name}] {
+				t.Fatalf("%s does not hold %d", name, p.prefix)
+			}
+			if x.Len() > 8 {
+				t.Fatalf("%d entries", x.Len())
+			}
+		}
+	})
+}
+
+func BenchmarkLookup(b *testing.B) {
+	x := New(DefaultMaxEntries)
+	for prefix := range uint64(DefaultMaxEntries) {
+		x.Stored(prefix, "runner")
+	}
+	prefixes := []uint64{5, 1 << 40, 1 << 41, 1 << 42}
+	b.ReportAllocs()
+	for b.Loop() {
+		x.Lookup(prefixes)
+	}
+}
+
+func BenchmarkStored(b *testing.B) {
+	x := New(DefaultMaxEntries)
+	b.ReportAllocs()
+	for prefix := uint64(0); b.Loop(); prefix++ {
+		x.Stored(prefix, "runner")
+	}
+}
