straggler, retry: comparison with what other homes tell; Fresh

Cause: with about ten backend servers and nine daemons a home serves one or two of a model, so that it has nobody to compare them with; and the router calls the deposit of the budget Fresh. Ruled out: telling raw times (control traffic grows with requests); telling the ratio of the first token (it is against the home's own baseline, so a home of one always says 1). Change: PerToken, one figure for each backend server to tell in a heartbeat, and Import for what others tell; Set holds a detector for each model; backend servers not heard of are dropped. Budget.Deposit is now Fresh. Before: a home of one backend server gave it weight 1 at any speed. After: one three times as slow as what three peers tell weighs about a half. Conclusion: the heartbeat needs one more field for the figure to be of use.

--- a/fleet/retry/retry.go
+++ b/fleet/retry/retry.go
@@ -34,8 +34,8 @@
 	return &Budget{ratio: ratio, minPerSec: minPerSec, now: now, credit: minPerSec, last: now()}
 }
 
-// Deposit notes a fresh request. A retry is none.
-func (b *Budget) Deposit() {
+// Fresh notes a fresh request, which earns credit. A retry earns none.
+func (b *Budget) Fresh() {
 	now := b.now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/fleet/retry/retry_test.go
+++ b/fleet/retry/retry_test.go
@@ -19,7 +19,7 @@
 			switch step {
 			case 0:
 				fresh++
-				b.Deposit()
+				b.Fresh()
 			case 1:
 				if b.Allow() {
 					allowed++
@@ -40,17 +40,17 @@
 	now := time.Unix(1_700_000_000, 0)
 	b := NewBudget(1, 0, func() time.Time { return now })
 	for range 1000 {
-		b.Deposit()
+		b.Fresh()
 	}
 	now = now.Add(10 * time.Minute)
 	is.True(b.Allow())
 	is.True(!b.Allow())
 }
 
-func BenchmarkDepositAllow(b *testing.B) {
+func BenchmarkFreshAllow(b *testing.B) {
 	budget := NewBudget(0.1, 1, nil)
 	for b.Loop() {
-		budget.Deposit()
+		budget.Fresh()
 		budget.Allow()
 	}
 }
--- a/fleet/straggler/detector.go
+++ b/fleet/straggler/detector.go
@@ -25,12 +25,25 @@
 // backend is guarded by Detector.mu.
 type backend struct {
 	name       string
-	firstToken mean // logarithms of ratios to the baseline
-	perToken   mean
+	firstToken mean    // logarithms of ratios to the baseline
+	perToken   mean    // logarithms of seconds
+	imported   float64 // likewise, from the home of a peer
+	isImported bool
 	last       time.Time
 	ejected    bool
 }
 
+func (b *backend) firstTokenLog(minSamples int) (log float64, known bool) {
+	return b.firstToken.value, b.firstToken.samples >= minSamples
+}
+
+func (b *backend) perTokenLog(minSamples int) (log float64, known bool) {
+	if b.perToken.samples >= minSamples {
+		return b.perToken.value, true
+	}
+	return b.imported, b.isImported
+}
+
 // verdicts are the states at one time; they do not change.
 type verdicts struct {
 	at     time.Time
@@ -55,18 +68,53 @@
 	now := d.now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	b := d.backends[backendName]
-	if b == nil {
-		b = &backend{name: backendName}
-		d.backends[backendName] = b
-	}
+	b := d.find(backendName)
 	b.last = now
-	b.firstToken.add(d.baseline.firstTokenRatio(firstToken, uncachedPromptTokens))
+	b.firstToken.add(d.baseline.ratio(firstToken, uncachedPromptTokens))
 	if perToken > 0 {
-		b.perToken.add(d.baseline.perTokenRatio(perToken))
+		b.perToken.add(logOf(perToken))
+	}
+}
+
+// PerToken is the mean time for each further token that this daemon observed,
+// zero when it has too few answers. Homes tell it to each other, since a home
+// seldom serves enough backend servers of a model to compare them.
+func (d *Detector) PerToken(backendName string) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b := d.backends[backendName]
+	if b == nil || b.perToken.samples < d.opts.MinSamples {
+		return 0
+	}
+	return durationOf(b.perToken.value)
+}
+
+// Import notes what the home of a peer tells of PerToken. It counts only for
+// backend servers that this daemon has too few answers of.
+func (d *Detector) Import(backendName string, perToken time.Duration) {
+	if perToken <= 0 {
+		return
+	}
+	now := d.now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b := d.find(backendName)
+	b.imported, b.isImported = logOf(perToken), true
+	if b.firstToken.samples == 0 {
+		b.last = now
 	}
 }
 
+// find returns a backend server, a new one if need be. d.mu is held.
+func (d *Detector) find(name string) *backend {
+	b := d.backends[name]
+	if b == nil {
+		b = &backend{name: name}
+		d.backends[name] = b
+	}
+	return b
+}
+
 // Weight returns the weight of a backend server; one that is not judged yet
 // has weight 1.
 func (d *Detector) Weight(backendName string) float64 {
@@ -105,14 +153,7 @@
 // judge weighs all backend servers. d.mu is held.
 func (d *Detector) judge(now time.Time) *verdicts {
 	v := &verdicts{at: now, weight: make(map[string]float64, len(d.backends))}
-	judged := d.judged()
-	if len(judged) < d.opts.MinPeers {
-		for _, b := range judged {
-			b.ejected = false
-		}
-		return v
-	}
-	slowness := d.slowness(judged, now)
+	judged, slowness := d.slowness(now)
 	d.eject(judged, slowness)
 	for i, b := range judged {
 		s := State{
@@ -128,32 +169,75 @@
 	return v
 }
 
-func (d *Detector) judged() []*backend {
-	var judged []*backend
-	for _, b := range d.backends {
-		if b.firstToken.samples >= d.opts.MinSamples {
-			judged = append(judged, b)
+// heard returns the backend servers by name, and drops those not heard of for
+// long. d.mu is held.
+func (d *Detector) heard(now time.Time) []*backend {
+	heard := make([]*backend, 0, len(d.backends))
+	for name, b := range d.backends {
+		if now.Sub(b.last) > keepForgiveTimes*d.opts.ForgiveTime {
+			delete(d.backends, name)
+			continue
 		}
+		heard = append(heard, b)
 	}
-	slices.SortFunc(judged, func(a, b *backend) int { return cmp.Compare(a.name, b.name) })
-	return judged
+	slices.SortFunc(heard, func(a, b *backend) int { return cmp.Compare(a.name, b.name) })
+	return heard
 }
 
-// slowness compares each with the median of all, in the worse of first token
-// and further tokens.
-func (d *Detector) slowness(judged []*backend, now time.Time) []float64 {
-	firstTokens := make([]float64, len(judged))
-	perTokens := make([]float64, len(judged))
-	for i, b := range judged {
-		firstTokens[i], perTokens[i] = b.firstToken.value, b.perToken.value
+// slowness compares each backend server with the median of all, in the worse
+// of first token and further tokens, and returns those it could compare. d.mu
+// is held.
+func (d *Detector) slowness(now time.Time) (judged []*backend, slowness []float64) {
+	heard := d.heard(now)
+	firstToken := d.compare(heard, (*backend).firstTokenLog)
+	perToken := d.compare(heard, (*backend).perTokenLog)
+	for _, b := range heard {
+		first, firstKnown := firstToken.of(b)
+		per, perKnown := perToken.of(b)
+		switch {
+		case firstKnown && perKnown:
+			first = max(first, per)
+		case perKnown:
+			first = per
+		case !firstKnown:
+			b.ejected = false
+			continue
+		}
+		judged = append(judged, b)
+		slowness = append(slowness, math.Exp(first*d.remembered(now.Sub(b.last))))
 	}
-	firstMedian, perMedian := median(firstTokens), median(perTokens)
-	slowness := make([]float64, len(judged))
-	for i, b := range judged {
-		log := max(firstTokens[i]-firstMedian, perTokens[i]-perMedian)
-		slowness[i] = math.Exp(log * d.remembered(now.Sub(b.last)))
+	return judged, slowness
+}
+
+// figure is one of the two figures by which backend servers are compared.
+type figure func(b *backend, minSamples int) (log float64, known bool)
+
+// comparison compares one figure with its median over the peers.
+type comparison struct {
+	figure     figure
+	minSamples int
+	median     float64
+	valid      bool // there are enough peers
+}
+
+func (d *Detector) compare(backends []*backend, f figure) comparison {
+	var logs []float64
+	for _, b := range backends {
+		if log, known := f(b, d.opts.MinSamples); known {
+			logs = append(logs, log)
+		}
+	}
+	c := comparison{figure: f, minSamples: d.opts.MinSamples, valid: len(logs) >= d.opts.MinPeers}
+	if c.valid {
+		c.median = median(logs)
 	}
-	return slowness
+	return c
+}
+
+// of is the logarithm of the ratio to the median.
+func (c comparison) of(b *backend) (log float64, known bool) {
+	log, known = c.figure(b, c.minSamples)
+	return log - c.median, known && c.valid
 }
 
 // remembered is the part of the slowness that counts after a time without an
--- a/fleet/straggler/sample.go
+++ b/fleet/straggler/sample.go
@@ -56,27 +56,22 @@
 	}
 }
 
-// baseline is what answers of the model usually take.
-type baseline struct {
-	firstToken [promptBuckets]runningMedian
-	perToken   runningMedian
-}
+// baseline is the usual time to the first token by length of the prompt.
+type baseline [promptBuckets]runningMedian
 
-// firstTokenRatio returns the logarithm of the time against that of prompts of
-// about the same length.
-func (b *baseline) firstTokenRatio(d time.Duration, tokens int) float64 {
-	m := &b.firstToken[promptBucket(tokens)]
-	x := logOf(d)
+// ratio returns the logarithm of the time to the first token against that of
+// prompts of about the same length.
+func (b *baseline) ratio(firstToken time.Duration, tokens int) float64 {
+	m := &b[promptBucket(tokens)]
+	x := logOf(firstToken)
 	m.add(x)
 	return x - m.value
 }
 
-func (b *baseline) perTokenRatio(d time.Duration) float64 {
-	x := logOf(d)
-	b.perToken.add(x)
-	return x - b.perToken.value
-}
-
 func logOf(d time.Duration) float64 {
 	return math.Log(max(d, time.Microsecond).Seconds())
 }
+
+func durationOf(log float64) time.Duration {
+	return time.Duration(math.Exp(log) * float64(time.Second))
+}
--- a/fleet/straggler/straggler.go
+++ b/fleet/straggler/straggler.go
@@ -3,9 +3,7 @@
 // There is one detector for each model.
 package straggler
 
-import (
-	"time"
-)
+import "time"
 
 // State is what the detector knows about one backend server.
 type State struct {
@@ -28,6 +26,10 @@
 	DefaultRefresh     = 250 * time.Millisecond
 )
 
+// keepForgiveTimes is the number of forgive times after which a backend server
+// that was not heard of is dropped.
+const keepForgiveTimes = 10
+
 // Options sets up a detector; zero values take the defaults.
 type Options struct {
 	MinSamples  int           // answers before a backend server is judged
--- a/fleet/straggler/straggler_test.go
+++ b/fleet/straggler/straggler_test.go
@@ -70,6 +70,9 @@
 	f := newFleet(1, 1, 1, 1, 10)
 	f.run(50)
 	is.Equal(f.weight(4), DefaultTrickle)
+	f.slow[4] = 3 // would not be ejected, but is not let back either
+	f.run(50)
+	is.Equal(f.weight(4), DefaultTrickle)
 	f.slow[4] = 1
 	f.run(50)
 	is.Equal(f.weight(4), 1.0)
@@ -79,8 +82,11 @@
 	is := is.New(t)
 	f := newFleet(1, 1, 1, 1, 10)
 	f.run(50)
-	f.now = f.now.Add(10 * DefaultForgiveTime)
+	f.now = f.now.Add(4 * DefaultForgiveTime) // 10 to the power of 1/16
 	is.Equal(f.weight(4), 1.0)
+	is.Equal(len(f.detector.Snapshot()), 5)
+	f.now = f.now.Add(7 * DefaultForgiveTime)
+	is.Equal(len(f.detector.Snapshot()), 0)
 }
 
 func TestTwoPeersAreNotComparedWithEachOther(t *testing.T) {
@@ -90,6 +96,32 @@
 	is.Equal(f.weight(1), 1.0)
 }
 
+func TestHomeOfOneIsComparedWithWhatPeersTell(t *testing.T) {
+	is := is.New(t)
+	homes := []*fleet{newFleet(1), newFleet(1), newFleet(1), newFleet(3)}
+	for i, home := range homes {
+		home.run(20)
+		told := home.detector.PerToken(home.name(0))
+		for j, other := range homes {
+			if i != j {
+				other.detector.Import(fmt.Sprint("peer-", i), told)
+			}
+		}
+	}
+	for _, home := range homes {
+		home.now = home.now.Add(DefaultRefresh)
+	}
+	is.Equal(homes[0].weight(0), 1.0)
+	is.True(homes[3].weight(0) > 0.4 && homes[3].weight(0) < 0.6)
+}
+
+func TestModelsAreNotComparedWithEachOther(t *testing.T) {
+	is := is.New(t)
+	s := NewSet(Options{}, nil)
+	is.Equal(s.Of("a"), s.Of("a"))
+	is.True(s.Of("a") != s.Of("b"))
+}
+
 func TestEjectionsStayWithinTheirFraction(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet(rapid.SliceOfN(rapid.SampledFrom([]float64{1, 1, 2, 8, 30}), 3, 20).Draw(t, "slow")...)
@@ -123,14 +155,17 @@
 
 func BenchmarkWeight(b *testing.B) {
 	for _, n := range []int{10, 200, 2000} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			f := newFleet(make([]float64, n)...)
-			f.run(DefaultMinSamples)
-			f.detector.now = time.Now
-			b.ReportAllocs()
+		f := newFleet(make([]float64, n)...)
+		f.run(DefaultMinSamples)
+		b.Run(fmt.Sprintf("fresh/%d", n), func(b *testing.B) {
 			for b.Loop() {
 				f.detector.Weight("runner-01")
 			}
 		})
+		b.Run(fmt.Sprintf("refresh/%d", n), func(b *testing.B) {
+			for b.Loop() {
+				f.detector.judge(f.now)
+			}
+		})
 	}
 }
