prompthash, warm: prefixes in the encoding of the engines

Cause: the stand-in engine names prefixes in its cache events by another encoding than warm.Prefixes, so that no event would ever meet a lookup. Ruled out: the lengths-first encoding in the engine too (its protocol is the platform's to define); the engines' encoding for fingerprints (separators in the content make two prompts encode alike, and one could frame another). Change: Prefixes follows the engines' encoding, which leaves the model out; Sum keeps the model and the lengths. Before: the hashes differed. Conclusion: the protocol's doc comment should state the encoding.

--- a/fleet/prompthash/prompthash.go
+++ b/fleet/prompthash/prompthash.go
@@ -1,7 +1,4 @@
-// Package prompthash hashes the content of prompts. Engines name the prefixes
-// in their cache events by the same hash, so the encoding below must not
-// change: xxhash64 over the model, then the role and the content of each
-// message, each of these as its length (64 bits, little-endian) and its bytes.
+// Package prompthash hashes the content of prompts.
 package prompthash
 
 import (
@@ -11,45 +8,47 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Prefixes returns the hash of the first message, of the first two, and so on.
-func Prefixes(model string, messages []engineapi.Message) []uint64 {
+// Separators of the engines' encoding of messages.
+const (
+	endOfRole    = "\x1f"
+	endOfMessage = "\x1e"
+)
+
+// Prefixes returns the hash of the first message, of the first two, and so on,
+// by which engines name prefixes in their cache events: xxhash64 over the role,
+// 0x1f, the content and 0x1e of each message.
+func Prefixes(messages []engineapi.Message) []uint64 {
 	prefixes := make([]uint64, len(messages))
-	d := newDigest(model)
+	d := xxhash.New()
 	for i, m := range messages {
-		d.message(m)
+		writeStrings(d, m.Role, endOfRole, m.Content, endOfMessage)
 		prefixes[i] = d.Sum64()
 	}
 	return prefixes
 }
 
-// Sum returns the hash of the whole prompt.
+// Sum returns a hash of the model and all messages. Unlike the engines'
+// encoding it writes lengths, so that no two prompts encode alike whatever
+// their content.
 func Sum(model string, messages []engineapi.Message) uint64 {
-	d := newDigest(model)
+	d := xxhash.New()
+	writeField(d, model)
 	for _, m := range messages {
-		d.message(m)
+		writeField(d, m.Role)
+		writeField(d, m.Content)
 	}
 	return d.Sum64()
 }
 
-type digest struct{ xxhash.Digest }
-
-func newDigest(model string) *digest {
-	d := &digest{}
-	d.Reset()
-	d.field(model)
-	return d
-}
-
-func (d *digest) message(m engineapi.Message) {
-	d.field(m.Role)
-	d.field(m.Content)
-}
-
-// field writes the length first, so that no two sequences of fields encode
-// alike.
-func (d *digest) field(s string) {
+func writeField(d *xxhash.Digest, s string) {
 	var length [8]byte
 	binary.LittleEndian.PutUint64(length[:], uint64(len(s)))
 	_, _ = d.Write(length[:]) // never fails
-	_, _ = d.WriteString(s)   // never fails
+	writeStrings(d, s)
+}
+
+func writeStrings(d *xxhash.Digest, parts ...string) {
+	for _, s := range parts {
+		_, _ = d.WriteString(s) // never fails
+	}
 }
--- a/fleet/warm/warm.go
+++ b/fleet/warm/warm.go
@@ -20,9 +20,10 @@
 const holdersPerPrefix = 3
 
 // Prefixes returns the hashes of the prefixes of a prompt that end with a
-// message, shortest first.
-func Prefixes(model string, messages []engineapi.Message) []uint64 {
-	return prompthash.Prefixes(model, messages)
+// message, shortest first. The model is no part of them, as in the engines'
+// cache events: the backend servers that hold a prefix tell the model.
+func Prefixes(_ string, messages []engineapi.Message) []uint64 {
+	return prompthash.Prefixes(messages)
 }
 
 // Index is the bounded index; the least recently used prefix makes room. It is
