--- a/fleet/placement/placement.go
+++ b/fleet/placement/placement.go
@@ -18,7 +18,7 @@
 	ReasonWarm        Reason = "warm"         // named by the chat token
 	ReasonIndex       Reason = "index"        // named by the index of warm prefixes
 	ReasonRendezvous  Reason = "rendezvous"   // first in the chat's rendezvous order
-	ReasonSpill       Reason = "spill"        // later in that order, the earlier ones are at their bound
+	ReasonSpill       Reason = "spill"        // later in that order, below its bound
 	ReasonLeastLoaded Reason = "least_loaded" // less loaded of two random ones below their bound
 	ReasonLastResort  Reason = "last_resort"  // every one is at its bound
 )
@@ -64,7 +64,9 @@
 	DefaultMaxChoices      = 4
 	DefaultPrefillPerToken = 250 * time.Microsecond
 	DefaultMeanService     = 4 * time.Second
+	DefaultPrefillWorth    = 3.0
 	DefaultIndexShare      = 0.5
+	DefaultOrderShare      = 0.5
 )
 
 // Options sets up the planner; zero values take the defaults.
@@ -74,12 +76,19 @@
 	// PrefillPerToken is the time an engine takes to compute one prompt token
 	// that is not cached.
 	PrefillPerToken time.Duration
+	// PrefillWorth is how much longer than the prefill itself a request may
+	// wait to save it. The engine's time that it saves also serves the requests
+	// behind it. Short work, which a person waits for, counts its own time only.
+	PrefillWorth float64
 	// MeanService is the mean time for which a request holds its slot.
 	MeanService time.Duration
 	// IndexShare is the least fraction of the prompt that the index must
 	// promise. A shared system prompt alone must not draw every chat of a
 	// workspace to one backend server.
 	IndexShare float64
+	// OrderShare is the fraction of the prompt that the first of the rendezvous
+	// order is expected to hold.
+	OrderShare float64
 	// IntN draws a number in [0, n). It must be safe for concurrent use; nil
 	// takes math/rand/v2.
 	IntN func(n int) int
--- a/fleet/placement/planner.go
+++ b/fleet/placement/planner.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"cassialatch.dev/config/dynamic"
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -14,11 +15,17 @@
 // ones.
 //
 // A warm backend server at its bound is kept as long as the time in its queue,
-// beyond the shortest queue elsewhere, is at most the prefill that it saves:
+// beyond the shortest queue elsewhere, is worth the prefill that it saves:
 //
-//	wait(warm) - min wait <= WarmTokens * PrefillPerToken
+//	wait(warm) - min wait <= worth * WarmTokens * PrefillPerToken
+//	worth = PrefillWorth, 1 for short work
 //	wait = (InFlight + Queued - bound + 1) * MeanService / bound, 0 below the bound
 //	bound = Limit * Weight
+//
+// The first of the rendezvous order is kept by the same rule, for the fraction
+// OrderShare of the prompt: without a token it is not known whether the chat has
+// been there, but when all are at their bound, as at a crest, leaving the order
+// would make every prompt cold.
 func NewPlanner(o Options) Planner {
 	if o.MaxChoices <= 0 {
 		o.MaxChoices = DefaultMaxChoices
@@ -26,12 +33,18 @@
 	if o.PrefillPerToken <= 0 {
 		o.PrefillPerToken = DefaultPrefillPerToken
 	}
+	if o.PrefillWorth <= 0 {
+		o.PrefillWorth = DefaultPrefillWorth
+	}
 	if o.MeanService <= 0 {
 		o.MeanService = DefaultMeanService
 	}
 	if o.IndexShare <= 0 {
 		o.IndexShare = DefaultIndexShare
 	}
+	if o.OrderShare <= 0 {
+		o.OrderShare = DefaultOrderShare
+	}
 	if o.IntN == nil {
 		o.IntN = rand.IntN
 	}
@@ -49,28 +62,42 @@
 	s := p.survey(r, candidates)
 	plan := newPlan(p.MaxChoices)
 	p.addWarm(&plan, r, s)
+	p.addFirst(&plan, r, s)
 	s.addRendezvous(&plan)
 	p.addLeastLoaded(&plan, s)
 	return plan.choices
 }
 
 func (p *planner) addWarm(plan *plan, r Request, s *survey) {
-	if c := s.warm; c != nil && p.keepsWarm(c, r.WarmTokens, s.minWait) {
+	if c := s.warm; c != nil && p.keepsWarm(c, r.Class, r.WarmTokens, s.minWait) {
 		plan.add(c.Backend, ReasonWarm)
 	}
 	if float64(r.IndexedTokens) < p.IndexShare*float64(r.PromptTokens) {
 		return
 	}
-	if c := s.indexed; c != nil && p.keepsWarm(c, r.IndexedTokens, s.minWait) {
+	if c := s.indexed; c != nil && p.keepsWarm(c, r.Class, r.IndexedTokens, s.minWait) {
 		plan.add(c.Backend, ReasonIndex)
 	}
 }
 
+// addFirst keeps the first of the rendezvous order at its bound, as one that
+// probably holds a part of the prompt.
+func (p *planner) addFirst(plan *plan, r Request, s *survey) {
+	expected := int(p.OrderShare * float64(r.PromptTokens))
+	if s.first.candidate != nil && p.keepsWarm(s.first.candidate, r.Class, expected, s.minWait) {
+		plan.add(s.first.candidate.Backend, ReasonRendezvous)
+	}
+}
+
 // keepsWarm weighs the wait at a warm backend server against the prefill that
 // a cold one would have to do.
-func (p *planner) keepsWarm(c *Candidate, tokens int, minWait time.Duration) bool {
-	saved := time.Duration(tokens) * p.PrefillPerToken
-	return c.open() || p.wait(c)-minWait <= saved
+func (p *planner) keepsWarm(c *Candidate, class dynamic.Class, tokens int, minWait time.Duration) bool {
+	worth := p.PrefillWorth
+	if class == dynamic.ClassShort {
+		worth = 1
+	}
+	saved := worth * float64(tokens) * float64(p.PrefillPerToken)
+	return c.open() || float64(p.wait(c)-minWait) <= saved
 }
 
 // addLeastLoaded fills the plan with winners of two random draws each.
@@ -119,8 +146,8 @@
 	open          []*Candidate // below the bound
 	full          []*Candidate // at or above the bound
 	minWait       time.Duration
-	first         uint64        // highest rendezvous score, open or not
-	ordered       [2]rendezvous // highest open ones, in order
+	first         rendezvous                    // highest of all
+	ordered       [rendezvousChoices]rendezvous // highest of the open ones, in order
 	hasKey        bool
 }
 
@@ -166,11 +193,13 @@
 
 // rank keeps the open candidates with the highest scores.
 func (s *survey) rank(c *Candidate, score uint64) {
-	s.first = max(s.first, score)
+	entry := rendezvous{c, score}
+	if s.first.candidate == nil || s.first.score < score {
+		s.first = entry
+	}
 	if !c.open() {
 		return
 	}
-	entry := rendezvous{c, score}
 	for i := range s.ordered {
 		if s.ordered[i].candidate == nil || s.ordered[i].score < entry.score {
 			s.ordered[i], entry = entry, s.ordered[i]
@@ -182,15 +211,10 @@
 }
 
 func (s *survey) addRendezvous(plan *plan) {
-	for _, e := range s.ordered[:rendezvousChoices] {
-		if e.candidate == nil {
-			return
-		}
-		reason := ReasonSpill
-		if e.score == s.first {
-			reason = ReasonRendezvous
+	for _, e := range s.ordered {
+		if e.candidate != nil {
+			plan.add(e.candidate.Backend, ReasonSpill)
 		}
-		plan.add(e.candidate.Backend, reason)
 	}
 }
 
