--- a/fleet/entry/server.go
+++ b/fleet/entry/server.go
@@ -146,8 +146,8 @@
 	workspace := ""
 	if c.workspace != nil {
 		workspace = c.workspace.Name
-		s.opts.Observer.Outcome(workspace, c.class, result, code)
 	}
+	s.opts.Observer.Outcome(workspace, c.class, result, code)
 	event := s.opts.Log.Debug()
 	if err != nil {
 		event = s.opts.Log.Info().Err(err)
--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -190,7 +190,7 @@
 	n.home = home.New(n.ctx, home.Options{
 		Self: holder, Directory: n.directory, Lender: n.lender, Shares: n.shares, Loads: n.loads,
 		Quarantine: n.quarantine, Stragglers: n.stragglers, Client: n.client,
-		Config: n.adopter.Config, Now: n.now, Observer: n.metrics,
+		Config: n.adopter.Config, Now: n.now, Observer: observer{n.metrics},
 	})
 	n.router = router.New(router.Options{
 		SelfID: n.self.Id, Directory: n.directory, Loads: n.loads, Planner: n.planner(),
@@ -216,7 +216,7 @@
 	n.entry = entry.NewServer(entry.Options{
 		Self: n.self, Peer: n.settings.Listen.Peer, Directory: n.directory, Config: n.adopter.Config,
 		Ready: n.Ready, Router: n.router, Executor: n.executor, Limiter: n.limiter, Index: n.index,
-		Ring: n.ring, Limits: n.settings.Limits, Observer: n.metrics, Log: n.log, Now: n.now,
+		Ring: n.ring, Limits: n.settings.Limits, Observer: observer{n.metrics}, Log: n.log, Now: n.now,
 	})
 	n.watcher = platform.NewWatcher(platform.NewClient(platform.Options{
 		Addresses: n.settings.Platform.Addresses, WatchWait: n.settings.Platform.WatchWait,
--- a/fleet/router/router.go
+++ b/fleet/router/router.go
@@ -59,7 +59,7 @@
 
 // Route runs a request on a backend server of its service.
 func (r *Router) Route(ctx context.Context, req Request, sink forward.Sink) error {
-	r.opts.Retries.Deposit()
+	r.opts.Retries.Fresh()
 	attempt := &attempt{router: r, req: req, sink: &startedSink{Sink: sink}, excluded: make(map[string]bool)}
 	var last error
 	for range maxAttempts {
