node: ready only when the lender lends

Ruled out: queue and engines (their times were in milliseconds afterwards). Change: readiness waits for the lender's start wait; readyz answers 200; the test harness stops daemons together. Conclusion: an operator who restarts one daemon after the other, waiting for readiness, never takes two lenders out at once.

--- a/fleet/lease/lender.go
+++ b/fleet/lease/lender.go
@@ -50,14 +50,17 @@
 	}
 }
 
+// Open reports whether the Lender lends by now.
+func (l *Lender) Open() bool { return !l.now().Before(l.opens) }
+
 // Grant lends the share of backend to holder or renews it, unless another
 // holder has it.
 func (l *Lender) Grant(backend string, holder Holder) Decision {
-	now := l.now()
-	if now.Before(l.opens) {
+	if !l.Open() {
 		return Decision{}
 	}
 
+	now := l.now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	current, lent := l.loans[backend]
--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -240,9 +240,11 @@
 }
 
 // Ready reports whether callers may be sent here: a configuration is in force,
-// the VM list is known and each peer was asked for newer documents.
+// the VM list is known, each peer was asked for newer documents, and the
+// daemon lends its shares again, so that an operator who restarts one daemon
+// after the other never takes two out of the lending at once.
 func (n *Node) Ready() bool {
-	return n.adopter.Config() != nil && n.exchange.AskedAll() && n.ctx.Err() == nil
+	return n.adopter.Config() != nil && n.exchange.AskedAll() && n.lender.Open() && n.ctx.Err() == nil
 }
 
 // Execute implements forward.Executor for what peers hand to this daemon: a
--- a/fleet/operator/server.go
+++ b/fleet/operator/server.go
@@ -70,7 +70,7 @@
 
 // health tells that the process serves.
 func (s *server) health(w http.ResponseWriter, r *http.Request) {
-	w.WriteHeader(http.StatusNoContent)
+	w.WriteHeader(http.StatusOK)
 }
 
 // ready tells whether callers may be sent here.
@@ -79,7 +79,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	w.WriteHeader(http.StatusNoContent)
+	w.WriteHeader(http.StatusOK)
 }
 
 // reply writes a JSON answer.
--- a/tests/harness/harness.go
+++ b/tests/harness/harness.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -250,9 +251,11 @@
 
 // stop stops all that runs.
 func (f *Fleet) stop() {
+	var wg sync.WaitGroup
 	for _, d := range f.running() {
-		d.Stop()
+		wg.Go(d.Stop)
 	}
+	wg.Wait()
 	for _, e := range f.Engines {
 		e.Server.Close()
 	}
