home, lease: work under ended shares counts until it has drained

Cause: the model (admit.pml) shows that counting others' work against the whole limit (WAY_TOTAL) lets an engine exceed it: a share moves while its former holder's work still runs, and a late report does not show it yet. Ruled out: comparing a late report with the highest in-flight count around it, which can hide others' work; others' own accounts, which a dead home cannot give. Change: a share is used only once a report made after it came has been read; what others have on the server then, less the requests of this daemon that were there for certain, is taken off what may be admitted, and the least such figure since the newest share is kept, as that work only ends. Conclusion: a hand-over costs a report's lag of capacity, never the bound.

--- a/fleet/home/execute.go
+++ b/fleet/home/execute.go
@@ -33,7 +33,9 @@
 	if err != nil {
 		return err
 	}
-	defer n.release(slot)
+	defer slot.Release()
+	span := n.spans.begin()
+	defer n.spans.finish(span)
 	h.opts.Observer.QueueWait(start.Workspace, dynamic.Class(start.Class), slot.Waited())
 	return n.run(ctx, start, body, sink)
 }
@@ -47,7 +49,7 @@
 	if verdict == quarantine.Refused {
 		return nil, outcome.NewNotRun(outcome.CodeQuarantined, "request has crashed backend servers")
 	}
-	slot, err := n.queue.Acquire(ctx, admission.Item{
+	return n.queue.Acquire(ctx, admission.Item{
 		Workspace:    start.Workspace,
 		Class:        dynamic.Class(start.Class),
 		Priority:     int(start.Priority),
@@ -57,17 +59,6 @@
 		QueueTimeout: r.queueTimeout,
 		Exclusive:    verdict == quarantine.Suspect,
 	})
-	if err != nil {
-		return nil, err
-	}
-	n.history.note(n.queue.Counts().InFlight)
-	return slot, nil
-}
-
-// release gives a slot back.
-func (n *runner) release(slot *admission.Slot) {
-	slot.Release()
-	n.history.note(n.queue.Counts().InFlight)
 }
 
 // verdict returns what is known of a request's content; zero has none.
--- a/fleet/home/home.go
+++ b/fleet/home/home.go
@@ -124,8 +124,7 @@
 
 // takeOverLocked starts to serve a backend server. The caller holds h.mu.
 func (h *Home) takeOverLocked(n *runner) {
-	n.reported.Store(false)
-	n.external.Store(int64(h.othersInFlight(n.vm.ID)))
+	n.external.forget()
 	n.homed.Store(true)
 	ctx, cancel := context.WithCancel(h.ctx)
 	n.stop = cancel
@@ -278,18 +277,6 @@
 	return all
 }
 
-// othersInFlight returns what other homes say that they have in flight on a
-// backend server.
-func (h *Home) othersInFlight(id string) int {
-	inFlight := 0
-	for _, e := range h.opts.Loads.Of(id) {
-		if e.Load.Home != h.opts.Self.ID || e.Load.Incarnation != h.opts.Self.Incarnation {
-			inFlight += int(e.Load.InFlight)
-		}
-	}
-	return inFlight
-}
-
 // fullWeight is the weight of a backend server that is not slow, in permille.
 const fullWeight = 1000
 
--- a/fleet/home/runner.go
+++ b/fleet/home/runner.go
@@ -60,25 +60,24 @@
 
 // runner is what a home knows of one backend server.
 type runner struct {
-	vm      platformapi.VM
-	home    *Home
-	queue   *admission.Queue
-	history *history
+	vm    platformapi.VM
+	home  *Home
+	queue *admission.Queue
+	spans spans
 
 	limit    atomic.Int64 // of the whole fleet's work on the server
-	external atomic.Int64 // work on the server that others admitted
 	homed    atomic.Bool  // this daemon takes itself for the home
 	leaving  atomic.Bool
-	reported atomic.Bool // a report, or the lack of any, is known
 	misses   atomic.Int64
 	instance atomic.Pointer[string]
+	external external
 
 	stop context.CancelFunc // ends the poll loop while homed
 }
 
 // newRunner returns the runner of a backend server.
 func newRunner(h *Home, vm platformapi.VM, r rules) *runner {
-	n := &runner{vm: vm, home: h, history: newHistory(h.opts.Now)}
+	n := &runner{vm: vm, home: h, spans: spans{now: h.opts.Now}}
 	n.limit.Store(int64(r.minInFlight))
 	n.queue = admission.New(admission.Options{
 		Limit:        r.maxInFlight,
@@ -91,19 +90,20 @@
 
 // allowed returns how much of this daemon's work may be in flight now. The
 // queue calls it at each admission: a share that ended while the process was
-// paused is not used.
+// paused is not used. A share that came since the last report is not used yet,
+// and work that others admitted under the shares held now still counts.
 func (n *runner) allowed() int {
 	if !n.open() {
 		return 0
 	}
-	limit := int(n.limit.Load())
-	lent := n.home.opts.Shares.Fraction(n.vm.ID).Of(limit)
-	return min(lent, limit-int(n.external.Load()))
+	seen := n.external.seen()
+	lent := n.home.opts.Shares.FractionSince(n.vm.ID, seen.at)
+	return lent.Of(int(n.limit.Load())) - seen.work
 }
 
 // open reports whether the backend server may get work at all.
 func (n *runner) open() bool {
-	return n.homed.Load() && !n.leaving.Load() && n.reported.Load() && n.misses.Load() < maxMisses
+	return n.homed.Load() && !n.leaving.Load() && n.external.known() && n.misses.Load() < maxMisses
 }
 
 // closedError tells why the backend server gets no work from this home.
@@ -133,13 +133,14 @@
 func (n *runner) readReport(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
+	asked := n.home.opts.Now()
 	report, err := n.home.opts.Client.Report(ctx, n.vm.Address)
 	switch {
 	case err == nil:
-		n.apply(report)
+		n.apply(report, asked)
 	case backend.IsStatus(err): // a plain service without reports
 		n.misses.Store(0)
-		n.reported.Store(true)
+		n.noteExternal(asked, 0)
 	case ctx.Err() != nil && n.home.ctx.Err() != nil:
 		return
 	default:
@@ -156,15 +157,19 @@
 	}
 }
 
-// apply takes a report.
-func (n *runner) apply(report engineapi.LoadReport) {
+// apply takes a report that was asked for at a time.
+func (n *runner) apply(report engineapi.LoadReport, asked time.Time) {
 	n.misses.Store(0)
 	n.instance.Store(&report.Instance)
 	n.setLeaving(report.Leaving)
-	age := time.Duration(report.AgeMs) * time.Millisecond
-	own := n.history.peakSince(age + reportInterval)
-	n.external.Store(int64(max(0, report.Running+report.Waiting-own, n.home.othersInFlight(n.vm.ID))))
-	n.reported.Store(true)
+	measured := asked.Add(-time.Duration(report.AgeMs) * time.Millisecond)
+	n.noteExternal(measured, report.Running+report.Waiting-n.spans.covering(measured))
+}
+
+// noteExternal takes what others had in flight on the server at a time.
+func (n *runner) noteExternal(measured time.Time, work int) {
+	newest := n.home.opts.Shares.FractionSince(n.vm.ID, measured).Newest
+	n.external.note(measured, newest, max(0, work))
 }
 
 // setLeaving notes whether the server is leaving; a server that said so once
--- a/fleet/lease/shares.go
+++ b/fleet/lease/shares.go
@@ -11,6 +11,7 @@
 
 // share is one lender's share as its holder counts it.
 type share struct {
+	since     time.Time // held without a gap
 	until     time.Time
 	groupSize int
 }
@@ -43,7 +44,12 @@
 		of = make(map[string]share)
 		s.shares[backend] = of
 	}
-	of[lender] = share{until: claimSent.Add(duration - margin), groupSize: groupSize}
+	now := s.now()
+	since := now
+	if held, ok := of[lender]; ok && now.Before(held.until) {
+		since = held.since // the lender lent it to nobody else meanwhile
+	}
+	of[lender] = share{since: since, until: claimSent.Add(duration - margin), groupSize: groupSize}
 }
 
 // Refused forgets a lender's share: the lender does not lend it any longer.
@@ -57,20 +63,35 @@
 // between 0 and 1. It reads the clock at each call, so that a process that
 // was paused does not use a lease that ended meanwhile.
 func (s *Shares) Fraction(backend string) Fraction {
+	return s.FractionSince(backend, s.now())
+}
+
+// FractionSince is Fraction over those shares only that have been held without
+// a gap since settled or longer.
+func (s *Shares) FractionSince(backend string, settled time.Time) Fraction {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
 	f := Fraction{}
 	for _, sh := range s.shares[backend] {
-		if now.Before(sh.until) {
+		if now.Before(sh.until) && !sh.since.After(settled) {
 			f.Lenders++
 			f.Part += 1 / float64(sh.groupSize)
+			f.Newest = later(f.Newest, sh.since)
 		}
 	}
 	f.Part = min(f.Part, 1)
 	return f
 }
 
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Drop forgets all shares of a backend server.
 func (s *Shares) Drop(backend string) {
 	s.mu.Lock()
@@ -91,8 +112,9 @@
 
 // Fraction is the part of a limit that a daemon holds.
 type Fraction struct {
-	Part    float64 // between 0 and 1
-	Lenders int     // lenders whose leases are valid
+	Part    float64   // between 0 and 1
+	Lenders int       // lenders whose leases are valid
+	Newest  time.Time // when the newest of these shares came; zero: none
 }
 
 // roundingSlack keeps a sum of shares such as 9 × 1/9 from rounding below 1.
--- a/tests/harness/harness.go
+++ b/tests/harness/harness.go
@@ -194,11 +194,16 @@
 	f.Eventually("limits lent", func() bool { return f.lent() })
 }
 
-// lent reports whether a running daemon knows a limit of each backend server.
+// minLimit is the least limit of a backend server whose home holds all shares,
+// by any base document that tests use.
+const minLimit = 2
+
+// lent reports whether each running daemon knows that the home of each backend
+// server holds all its shares.
 func (f *Fleet) lent() bool {
 	for _, d := range f.running() {
 		for _, b := range d.Node.Status().Backends {
-			if b.Limit == 0 && !b.Leaving {
+			if b.Limit < minLimit && !b.Leaving {
 				return false
 			}
 		}
