--- a/fleet/backend/client.go
+++ b/fleet/backend/client.go
@@ -62,11 +62,12 @@
 type Client struct {
 	pooled *http.Transport // idempotent calls
 	single *http.Transport // others: a connection each, so nothing is sent twice
-	direct *http.Client    // load reports
+	direct *http.Client    // load reports and orders
 }
 
-// NewClient returns a Client.
-func NewClient() *Client {
+// NewClient returns a Client. countReports wraps each connection for load
+// reports and orders, to count its bytes; nil: none.
+func NewClient(countReports func(net.Conn) net.Conn) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	pooled := &http.Transport{
 		DialContext:         dial(dialer),
@@ -81,10 +82,20 @@
 		DisableCompression: true,
 		DisableKeepAlives:  true,
 	}
+	reports := &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err == nil && countReports != nil {
+				conn = countReports(conn)
+			}
+			return conn, err
+		},
+		IdleConnTimeout: idleConnTimeout,
+	}
 	return &Client{
 		pooled: pooled,
 		single: single,
-		direct: &http.Client{Transport: pooled},
+		direct: &http.Client{Transport: reports},
 	}
 }
 
@@ -92,6 +103,7 @@
 func (c *Client) Close() {
 	c.pooled.CloseIdleConnections()
 	c.single.CloseIdleConnections()
+	c.direct.CloseIdleConnections()
 }
 
 // Do runs one call and passes the answer on as it comes. A failure is an
--- a/fleet/executor/executor.go
+++ b/fleet/executor/executor.go
@@ -155,18 +155,22 @@
 	defer cancel()
 
 	recorder := &recorder{sink: sink, limit: x.opts.MaxAnswerBytes}
-	err := x.opts.Router.Route(ctx, router.Request{
+	var err error = errNotFinished // what resends hear if the run panics
+	defer func() { entry.Finish(recorder.answer(err)) }()
+	err = x.opts.Router.Route(ctx, router.Request{
 		Start: start,
 		Body:  body,
 		Place: placement.Request{ChatKey: start.RequestId},
 	}, recorder)
-	entry.Finish(recorder.answer(err))
 	if err != nil {
 		return err
 	}
 	return recorder.err
 }
 
+// errNotFinished is the end of a run that did not come to one.
+var errNotFinished = outcome.NewUnknown(outcome.CodeInternal, "run did not come to an end")
+
 // bodyHash identifies what a ticket was used for.
 func bodyHash(start *peerpb.ForwardStart, body []byte) uint64 {
 	hash := xxhash.New()
--- a/fleet/home/home.go
+++ b/fleet/home/home.go
@@ -259,6 +259,17 @@
 	return released
 }
 
+// Count returns of how many backend servers this daemon is home.
+func (h *Home) Count() int {
+	count := 0
+	for _, n := range h.all() {
+		if n.homed.Load() {
+			count++
+		}
+	}
+	return count
+}
+
 // runner returns the runner of a backend server; nil when there is none.
 func (h *Home) runner(id string) *runner {
 	h.mu.Lock()
--- a/fleet/lease/shares.go
+++ b/fleet/lease/shares.go
@@ -99,15 +99,20 @@
 	delete(s.shares, backend)
 }
 
-// Held returns the backend servers of which shares are held.
-func (s *Shares) Held() []string {
+// Count returns how many shares are held now.
+func (s *Shares) Count() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	held := make([]string, 0, len(s.shares))
-	for backend := range s.shares {
-		held = append(held, backend)
+	now := s.now()
+	n := 0
+	for _, of := range s.shares {
+		for _, sh := range of {
+			if now.Before(sh.until) {
+				n++
+			}
+		}
 	}
-	return held
+	return n
 }
 
 // Fraction is the part of a limit that a daemon holds.
--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -183,7 +183,7 @@
 
 // openPaths creates the parts through which requests go.
 func (n *Node) openPaths() error {
-	n.client = backend.NewClient()
+	n.client = backend.NewClient(n.countReport)
 	n.peers = peer.NewClient(&peer.Dialer{TLS: n.security.peerClient, DialFunc: n.opts.DialPeer})
 	n.control = peer.NewControl(&peer.Dialer{TLS: n.security.peerClient, Wrap: n.countPeer, DialFunc: n.opts.DialPeer})
 	holder := lease.Holder{ID: n.self.Id, Incarnation: n.self.Incarnation}
@@ -194,7 +194,7 @@
 	})
 	n.router = router.New(router.Options{
 		SelfID: n.self.Id, Directory: n.directory, Loads: n.loads, Planner: n.planner(),
-		Local: n.home, Peers: n.peers, Retries: n.retries,
+		Local: n.home, Peers: n.peers, Retries: n.retries, OnRetry: n.metrics.Retry,
 	})
 	n.executor = executor.New(executor.Options{
 		Self: holder, Ring: n.ring, Router: n.router, Peers: n.peers, MaxAnswerBytes: maxAnswerBytes,
--- a/fleet/node/run.go
+++ b/fleet/node/run.go
@@ -121,6 +121,7 @@
 	group.Go(func() error { n.watcher.Run(n.ctx); return nil })
 	group.Go(func() error { n.exchange.Run(n.ctx); return nil })
 	group.Go(func() error { n.orderer.Run(n.ctx); return nil })
+	group.Go(func() error { n.gauge(); return nil })
 }
 
 // closed takes the ordinary end of an HTTP server for success.
@@ -165,6 +166,29 @@
 	n.control.Close()
 	_ = n.peers.Close() // only idle connections are left
 	n.client.Close()
+	if err := n.metrics.Close(); err != nil {
+		n.log.Warn().Err(err).Msg("metrics not closed")
+	}
+}
+
+// gaugeInterval is the time between two readings of the gauges.
+const gaugeInterval = time.Second
+
+// gauge reads what the metrics show as gauges until the node stops.
+func (n *Node) gauge() {
+	for n.ctx.Err() == nil {
+		n.metrics.LeasesHeld(n.shares.Count())
+		n.metrics.LeasesLent(n.lender.Lent())
+		n.metrics.Homes(n.home.Count())
+		n.metrics.Quarantined(len(n.quarantine.Export(maxShownQuarantined)))
+		n.metrics.ControlTraffic(n.meter.Snapshot())
+		sleep(n.ctx, gaugeInterval)
+	}
+}
+
+// countReport counts a connection for load reports.
+func (n *Node) countReport(conn net.Conn) net.Conn {
+	return n.meter.Conn(traffic.KindReport, conn)
 }
 
 // countPeer counts a control connection to a peer.
--- a/fleet/router/router.go
+++ b/fleet/router/router.go
@@ -40,6 +40,7 @@
 	Local     forward.Executor // the home of this daemon
 	Peers     Peers
 	Retries   *retry.Budget
+	OnRetry   func() // called for each further attempt; nil: not called
 }
 
 // Router places requests. It is safe for concurrent use.
@@ -76,6 +77,9 @@
 			return err
 		}
 		attempt.excluded[choice.Backend] = true
+		if r.opts.OnRetry != nil {
+			r.opts.OnRetry()
+		}
 	}
 	if last != nil {
 		return last
