--- a/fleet/admission/admission_test.go
+++ b/fleet/admission/admission_test.go
@@ -191,6 +191,23 @@
 	})
 }
 
+func TestEstimateIsCorrectedByFormerWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := New(Options{Limit: 1})
+		running := call(q, item("a", dynamic.ClassChat))
+		time.Sleep(time.Second)
+		release(running) // one second for each request
+		running = call(q, item("a", dynamic.ClassChat))
+		waiting := call(q, item("a", dynamic.ClassChat)) // estimated at one second
+		time.Sleep(3 * time.Second)
+		is.Equal(q.classes[rankChat].forecast.correct(time.Second), time.Second)
+		release(running)
+		is.Equal(q.classes[rankChat].forecast.correct(time.Second), 3*time.Second)
+		release(waiting)
+	})
+}
+
 func TestQueueTimeoutAnswersTheWaiter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/fleet/admission/dispatch.go
+++ b/fleet/admission/dispatch.go
@@ -116,6 +116,7 @@
 	}
 	// The timer of a request may fire late, as after a pause of the process.
 	if !w.expires.IsZero() && !now.Before(w.expires) {
+		q.classes[w.rank].forecast.learn(w, now)
 		q.drop(w, w.timeoutError().WithRetryAfter(retryAfter(q.estimate(w))))
 		return true
 	}
@@ -159,6 +160,7 @@
 }
 
 func (q *Queue) admit(w *waiter, now time.Time) {
+	q.classes[w.rank].forecast.learn(w, now)
 	q.inFlight++
 	q.peak = max(q.peak, q.inFlight)
 	q.classes[w.rank].inFlight++ // before remove, or the class would look idle
--- a/fleet/admission/estimate.go
+++ b/fleet/admission/estimate.go
@@ -5,28 +5,67 @@
 	"time"
 )
 
-// holdTime is a moving average of the time for which requests hold a slot.
-type holdTime struct {
+// meanTime is a moving average of a time.
+type meanTime struct {
 	mean    time.Duration
 	samples int
 }
 
-// holdSmoothing is the weight of a new sample, 1/10.
-const holdSmoothing = 10
+// meanSmoothing is the weight of a new sample, 1/10.
+const meanSmoothing = 10
 
-func (h *holdTime) observe(d time.Duration) {
-	h.samples++
+func (m *meanTime) observe(d time.Duration) {
+	m.samples++
 	// The plain mean of the first samples, then exponential smoothing.
-	h.mean += (d - h.mean) / time.Duration(min(h.samples, holdSmoothing))
+	m.mean += (d - m.mean) / time.Duration(min(m.samples, meanSmoothing))
 }
 
-// estimate is the expected wait of a queued request, from the rate at which
-// the requests in flight have been observed to end. It is zero as long as
-// nothing has ended. Queue.mu is held.
+// forecast compares the waits of a class with what was estimated. The estimate
+// leaves out those that arrive later and go first.
+type forecast struct {
+	estimated, waited meanTime
+}
+
+// Bounds of the correction of an estimate.
+const (
+	minCorrection = 0.5
+	maxCorrection = 4
+)
+
+// correct multiplies an estimate by the error of the former ones.
+func (f *forecast) correct(estimate time.Duration) time.Duration {
+	if f.estimated.mean <= 0 {
+		return estimate
+	}
+	factor := float64(f.waited.mean) / float64(f.estimated.mean)
+	return time.Duration(float64(estimate) * min(max(factor, minCorrection), maxCorrection))
+}
+
+// learn notes the wait of a request that was admitted or timed out.
+func (f *forecast) learn(w *waiter, now time.Time) {
+	if w.estimated > 0 {
+		f.estimated.observe(w.estimated)
+		f.waited.observe(now.Sub(w.arrived))
+	}
+}
+
+// estimate is the expected wait of a queued request, corrected by the error of
+// former estimates. It sets w.estimated. Queue.mu is held.
 func (q *Queue) estimate(w *waiter) time.Duration {
 	if w.item.Exclusive {
 		return q.estimateExclusive()
 	}
+	ahead := q.estimateAhead(w)
+	if w.estimated == 0 {
+		w.estimated = ahead
+	}
+	return q.classes[w.rank].forecast.correct(ahead)
+}
+
+// estimateAhead is the time in which the requests ahead get their slots, from
+// the rate at which the requests in flight have been observed to end. It is
+// zero as long as nothing has ended. Queue.mu is held.
+func (q *Queue) estimateAhead(w *waiter) time.Duration {
 	all := q.releaseRate(0)
 	class := q.classes[w.rank]
 	if w.rank == rankShort {
--- a/fleet/admission/flow.go
+++ b/fleet/admission/flow.go
@@ -15,7 +15,8 @@
 	bands    []*band    // highest priority first
 	arrivals *list.List // of *waiter, oldest first
 	inFlight int
-	hold     holdTime
+	hold     meanTime // for which requests hold a slot
+	forecast forecast
 }
 
 func newClassQueue() *classQueue { return &classQueue{arrivals: list.New()} }
--- a/fleet/admission/queue.go
+++ b/fleet/admission/queue.go
@@ -50,6 +50,8 @@
 	arrived time.Time
 	expires time.Time // zero: never
 
+	estimated time.Duration // of the wait at arrival, uncorrected; zero: unknown
+
 	flow    *flow
 	element *list.Element // in flow.items
 	arrival *list.Element // in classQueue.arrivals or exclusiveQueue.waiting
@@ -73,8 +75,8 @@
 }
 
 // Acquire waits for a slot. It fails with a *outcome.Error of outcome not-run:
-// at arrival when the estimated wait exceeds the queue timeout or the
-// deadline, later when either of them has passed, ctx is done or the queue is
+// at arrival when the estimated wait and a margin exceed the queue timeout or
+// the deadline, later when either of them has passed, ctx is done or the queue is
 // closed.
 func (q *Queue) Acquire(ctx context.Context, item Item) (*Slot, error) {
 	if ctx.Err() != nil {
@@ -114,16 +116,30 @@
 	w.seq = q.seq
 	q.push(w)
 	q.dispatch()
-	if w.waiting() && !w.expires.IsZero() {
-		estimate := q.estimate(w)
-		if now.Add(estimate).After(w.expires) {
-			q.drop(w, w.timeoutError().WithRetryAfter(retryAfter(estimate)))
-			q.dispatch()
-		}
+	if w.waiting() {
+		q.refuseHopeless(w, now)
 	}
 	return w
 }
 
+// estimateMargin is the divisor of the margin, a quarter of the estimate. A
+// queue that is kept as long as the timeout would let every second request
+// wait in vain, since waits scatter about their estimate.
+const estimateMargin = 4
+
+// refuseHopeless refuses a new request whose estimated wait is too long. q.mu
+// is held.
+func (q *Queue) refuseHopeless(w *waiter, now time.Time) {
+	if w.expires.IsZero() {
+		return
+	}
+	estimate := q.estimate(w)
+	if now.Add(estimate + estimate/estimateMargin).After(w.expires) {
+		q.drop(w, w.timeoutError().WithRetryAfter(retryAfter(estimate)))
+		q.dispatch()
+	}
+}
+
 func expiry(now time.Time, item Item) time.Time {
 	if item.QueueTimeout <= 0 {
 		return item.Deadline
@@ -143,6 +159,7 @@
 		return
 	}
 	if err.Code != outcome.CodeCallerGone {
+		q.classes[w.rank].forecast.learn(w, q.opts.Now())
 		err = err.WithRetryAfter(retryAfter(q.estimate(w)))
 	}
 	q.drop(w, err)
