--- a/fleet/admission/queue.go
+++ b/fleet/admission/queue.go
@@ -206,6 +206,18 @@
 		return
 	}
 	q.closed = err
+	q.flush(err)
+}
+
+// Flush refuses all requests that wait and goes on.
+func (q *Queue) Flush(err *outcome.Error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.flush(err)
+}
+
+// flush refuses all requests that wait. q.mu is held.
+func (q *Queue) flush(err *outcome.Error) {
 	for q.exclusive.waiting.Len() > 0 {
 		q.drop(q.exclusive.next(), err)
 	}
