admission: floor of long work before a short queue timeout

Cause: work aged after 2 s, which is also the default queue timeout of a model, so that with defaults its floor never came before its refusal. Ruled out: a lower constant (too early for models that wait for minutes). Change: a request ages after AgeAfter or half of its queue timeout, whichever is shorter. Before: long work behind a stream of short work was refused at 2 s. After: it gets its floor at 1 s (TestFloorComesBeforeAShortQueueTimeout).

--- a/fleet/admission/admission.go
+++ b/fleet/admission/admission.go
@@ -38,8 +38,8 @@
 	// slot always stays open to all classes, so that a small limit does not
 	// shut long work out.
 	ShortReserve int
-	// AgeAfter is the wait after which chat and long work claim their floor.
-	// Zero takes DefaultAgeAfter.
+	// AgeAfter is the wait after which chat and long work claim their floor;
+	// half the queue timeout if that is shorter. Zero takes DefaultAgeAfter.
 	AgeAfter time.Duration
 	// Admit returns a further limit. The queue calls it under its lock at each
 	// admission and admits only below both limits. It must not call the queue.
@@ -53,7 +53,7 @@
 const DefaultAgeAfter = 2 * time.Second
 
 // floorDivisor sets the floor of aged work: once the oldest waiting request of
-// class chat or long has waited for AgeAfter, its class goes first until it
+// class chat or long has waited for long enough, its class goes first until it
 // holds a quarter of the slots outside the reserve, and one at least.
 const floorDivisor = 4
 
--- a/fleet/admission/admission_test.go
+++ b/fleet/admission/admission_test.go
@@ -93,6 +93,23 @@
 	})
 }
 
+func TestFloorComesBeforeAShortQueueTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := New(Options{Limit: 1, AgeAfter: 2 * time.Second})
+		running := call(q, item("a", dynamic.ClassShort))
+		hasty := item("b", dynamic.ClassLong)
+		hasty.QueueTimeout = 2 * time.Second
+		long := call(q, hasty)
+		call(q, item("a", dynamic.ClassShort))
+		time.Sleep(time.Second)
+		release(running)
+		is.True(long.slot() != nil)
+		q.Close(nil)
+		synctest.Wait()
+	})
+}
+
 func TestAgedLongWorkAboveItsFloorWaitsForShort(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/fleet/admission/dispatch.go
+++ b/fleet/admission/dispatch.go
@@ -147,12 +147,12 @@
 	return nil
 }
 
-// belowFloor returns the class whose requests have waited for AgeAfter while
-// it holds less than its floor, nil when there is none.
+// belowFloor returns the class whose requests have aged while it holds less
+// than its floor, nil when there is none.
 func (q *Queue) belowFloor(now time.Time, shared int) *classQueue {
 	floor := max(1, shared/floorDivisor)
 	for _, c := range q.classes[rankChat:] {
-		if c.inFlight < floor && c.aged(now.Add(-q.opts.AgeAfter)) {
+		if c.inFlight < floor && c.aged(now) {
 			return c
 		}
 	}
--- a/fleet/admission/flow.go
+++ b/fleet/admission/flow.go
@@ -54,10 +54,10 @@
 	}
 }
 
-// aged tells whether the oldest waiting request arrived at or before t.
-func (c *classQueue) aged(t time.Time) bool {
+// aged tells whether the oldest waiting request counts for the floor.
+func (c *classQueue) aged(now time.Time) bool {
 	oldest := c.arrivals.Front()
-	return oldest != nil && !oldest.Value.(*waiter).arrived.After(t)
+	return oldest != nil && !now.Before(oldest.Value.(*waiter).ages)
 }
 
 // ahead counts the requests of the class that go before w.
--- a/fleet/admission/queue.go
+++ b/fleet/admission/queue.go
@@ -49,6 +49,7 @@
 	seq     uint64
 	arrived time.Time
 	expires time.Time // zero: never
+	ages    time.Time // when it begins to count for the floor of its class
 
 	estimated time.Duration // of the wait at arrival, uncorrected; zero: unknown
 
@@ -105,6 +106,7 @@
 	now := q.opts.Now()
 	w := &waiter{item: item, rank: rankOf(item.Class), arrived: now, decided: make(chan struct{})}
 	w.expires = expiry(now, item)
+	w.ages = now.Add(q.ageAfter(item))
 
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -140,6 +142,15 @@
 	}
 }
 
+// ageAfter is shorter for a request that cannot wait for long, or the floor
+// would come too late for it.
+func (q *Queue) ageAfter(item Item) time.Duration {
+	if item.QueueTimeout > 0 {
+		return min(q.opts.AgeAfter, item.QueueTimeout/2)
+	}
+	return q.opts.AgeAfter
+}
+
 func expiry(now time.Time, item Item) time.Time {
 	if item.QueueTimeout <= 0 {
 		return item.Deadline
