--- a/fleet/admission/admission_test.go
+++ b/fleet/admission/admission_test.go
@@ -93,6 +93,23 @@
 	})
 }
 
+func TestFloorComesBeforeAShortQueueTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := New(Options{Limit: 1, AgeAfter: 2 * time.Second})
+		running := call(q, item("a", dynamic.ClassShort))
+		hasty := item("b", dynamic.ClassLong)
+		hasty.QueueTimeout = 2 * time.Second
+		long := call(q, hasty)
+		call(q, item("a", dynamic.ClassShort))
+		time.Sleep(time.Second)
+		release(running)
+		is.True(long.slot() != nil)
+		q.Close(nil)
+		synctest.Wait()
+	})
+}
+
 func TestAgedLongWorkAboveItsFloorWaitsForShort(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -151,6 +168,19 @@
 	})
 }
 
+func TestMemoryOfWorkspacesIsBoundedWhileTheClassIsBusy(t *testing.T) {
+	is := is.New(t)
+	q := New(Options{Limit: 2})
+	_, err := q.Acquire(t.Context(), item("busy", dynamic.ClassChat))
+	is.NoErr(err)
+	for i := range 3 * idleFlowsKept {
+		slot, err := q.Acquire(t.Context(), item(fmt.Sprint(i), dynamic.ClassChat))
+		is.NoErr(err)
+		slot.Release()
+		is.True(len(q.classes[rankChat].bands[0].byName) <= idleFlowsKept+1)
+	}
+}
+
 func TestPriorityGoesFirstWithinAClass(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -191,6 +221,23 @@
 	})
 }
 
+func TestEstimateIsCorrectedByFormerWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := New(Options{Limit: 1})
+		running := call(q, item("a", dynamic.ClassChat))
+		time.Sleep(time.Second)
+		release(running) // one second for each request
+		running = call(q, item("a", dynamic.ClassChat))
+		waiting := call(q, item("a", dynamic.ClassChat)) // estimated at one second
+		time.Sleep(3 * time.Second)
+		is.Equal(q.classes[rankChat].forecast.correct(time.Second), time.Second)
+		release(running)
+		is.Equal(q.classes[rankChat].forecast.correct(time.Second), 3*time.Second)
+		release(waiting)
+	})
+}
+
 func TestQueueTimeoutAnswersTheWaiter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/fleet/admission/dispatch.go
+++ b/fleet/admission/dispatch.go
@@ -116,6 +116,7 @@
 	}
 	// The timer of a request may fire late, as after a pause of the process.
 	if !w.expires.IsZero() && !now.Before(w.expires) {
+		q.classes[w.rank].forecast.learn(w, now)
 		q.drop(w, w.timeoutError().WithRetryAfter(retryAfter(q.estimate(w))))
 		return true
 	}
@@ -146,12 +147,12 @@
 	return nil
 }
 
-// belowFloor returns the class whose requests have waited for AgeAfter while
-// it holds less than its floor, nil when there is none.
+// belowFloor returns the class whose requests have aged while it holds less
+// than its floor, nil when there is none.
 func (q *Queue) belowFloor(now time.Time, shared int) *classQueue {
 	floor := max(1, shared/floorDivisor)
 	for _, c := range q.classes[rankChat:] {
-		if c.inFlight < floor && c.aged(now.Add(-q.opts.AgeAfter)) {
+		if c.inFlight < floor && c.aged(now) {
 			return c
 		}
 	}
@@ -159,6 +160,7 @@
 }
 
 func (q *Queue) admit(w *waiter, now time.Time) {
+	q.classes[w.rank].forecast.learn(w, now)
 	q.inFlight++
 	q.peak = max(q.peak, q.inFlight)
 	q.classes[w.rank].inFlight++ // before remove, or the class would look idle
--- a/fleet/admission/flow.go
+++ b/fleet/admission/flow.go
@@ -15,7 +15,8 @@
 	bands    []*band    // highest priority first
 	arrivals *list.List // of *waiter, oldest first
 	inFlight int
-	hold     holdTime
+	hold     meanTime // for which requests hold a slot
+	forecast forecast
 }
 
 func newClassQueue() *classQueue { return &classQueue{arrivals: list.New()} }
@@ -53,10 +54,10 @@
 	}
 }
 
-// aged tells whether the oldest waiting request arrived at or before t.
-func (c *classQueue) aged(t time.Time) bool {
+// aged tells whether the oldest waiting request counts for the floor.
+func (c *classQueue) aged(now time.Time) bool {
 	oldest := c.arrivals.Front()
-	return oldest != nil && !oldest.Value.(*waiter).arrived.After(t)
+	return oldest != nil && !now.Before(oldest.Value.(*waiter).ages)
 }
 
 // ahead counts the requests of the class that go before w.
@@ -123,19 +124,21 @@
 	}
 	heap.Remove(&b.flows, f.index)
 	f.backlog = 0
-	b.forgetSettled()
+	b.forgetIdle()
 }
 
-// idleFlowsKept is the number of workspaces without waiting requests beyond
-// which those that owe nothing are dropped.
-const idleFlowsKept = 64
+// idleFlowsKept is the number of workspaces without waiting requests whose
+// debt is remembered.
+const idleFlowsKept = 1024
 
-func (b *band) forgetSettled() {
-	if len(b.byName) <= 2*len(b.flows)+idleFlowsKept {
+// forgetIdle drops all workspaces that do not wait once there are too many.
+// Each of them owes at most its last request.
+func (b *band) forgetIdle() {
+	if len(b.byName)-len(b.flows) <= idleFlowsKept {
 		return
 	}
 	for name, f := range b.byName {
-		if f.items.Len() == 0 && f.start <= b.virtual {
+		if f.items.Len() == 0 {
 			delete(b.byName, name)
 		}
 	}
--- a/fleet/admission/queue.go
+++ b/fleet/admission/queue.go
@@ -49,6 +49,9 @@
 	seq     uint64
 	arrived time.Time
 	expires time.Time // zero: never
+	ages    time.Time // when it begins to count for the floor of its class
+
+	estimated time.Duration // of the wait at arrival, uncorrected; zero: unknown
 
 	flow    *flow
 	element *list.Element // in flow.items
@@ -73,8 +76,8 @@
 }
 
 // Acquire waits for a slot. It fails with a *outcome.Error of outcome not-run:
-// at arrival when the estimated wait exceeds the queue timeout or the
-// deadline, later when either of them has passed, ctx is done or the queue is
+// at arrival when the estimated wait and a margin exceed the queue timeout or
+// the deadline, later when either of them has passed, ctx is done or the queue is
 // closed.
 func (q *Queue) Acquire(ctx context.Context, item Item) (*Slot, error) {
 	if ctx.Err() != nil {
@@ -103,6 +106,7 @@
 	now := q.opts.Now()
 	w := &waiter{item: item, rank: rankOf(item.Class), arrived: now, decided: make(chan struct{})}
 	w.expires = expiry(now, item)
+	w.ages = now.Add(q.ageAfter(item))
 
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -114,16 +118,39 @@
 	w.seq = q.seq
 	q.push(w)
 	q.dispatch()
-	if w.waiting() && !w.expires.IsZero() {
-		estimate := q.estimate(w)
-		if now.Add(estimate).After(w.expires) {
-			q.drop(w, w.timeoutError().WithRetryAfter(retryAfter(estimate)))
-			q.dispatch()
-		}
+	if w.waiting() {
+		q.refuseHopeless(w, now)
 	}
 	return w
 }
 
+// estimateMargin is the divisor of the margin, a quarter of the estimate. A
+// queue that is kept as long as the timeout would let every second request
+// wait in vain, since waits scatter about their estimate.
+const estimateMargin = 4
+
+// refuseHopeless refuses a new request whose estimated wait is too long. q.mu
+// is held.
+func (q *Queue) refuseHopeless(w *waiter, now time.Time) {
+	if w.expires.IsZero() {
+		return
+	}
+	estimate := q.estimate(w)
+	if now.Add(estimate + estimate/estimateMargin).After(w.expires) {
+		q.drop(w, w.timeoutError().WithRetryAfter(retryAfter(estimate)))
+		q.dispatch()
+	}
+}
+
+// ageAfter is shorter for a request that cannot wait for long, or the floor
+// would come too late for it.
+func (q *Queue) ageAfter(item Item) time.Duration {
+	if item.QueueTimeout > 0 {
+		return min(q.opts.AgeAfter, item.QueueTimeout/2)
+	}
+	return q.opts.AgeAfter
+}
+
 func expiry(now time.Time, item Item) time.Time {
 	if item.QueueTimeout <= 0 {
 		return item.Deadline
@@ -143,6 +170,7 @@
 		return
 	}
 	if err.Code != outcome.CodeCallerGone {
+		q.classes[w.rank].forecast.learn(w, q.opts.Now())
 		err = err.WithRetryAfter(retryAfter(q.estimate(w)))
 	}
 	q.drop(w, err)
