straggler: compare servers across homes

Cause: a home sees only its own few backend servers, so it rarely has three peers of a model to compare one with, and judges almost nobody. Ruled out: comparing servers of different models with each other. Change: one detector a service; homes tell each other the time between tokens with their loads, and import what they hear. Before: one detector for all models, own servers only. Conclusion: every home can now compare all servers of a model.

--- a/fleet/heartbeat/handler.go
+++ b/fleet/heartbeat/handler.go
@@ -12,7 +12,6 @@
 	"cassialatch.dev/fleet/adopt"
 	"cassialatch.dev/fleet/home"
 	"cassialatch.dev/fleet/lease"
-	"cassialatch.dev/fleet/loadtable"
 	"cassialatch.dev/fleet/member"
 	"cassialatch.dev/fleet/quarantine"
 	"cassialatch.dev/wire/peerpb"
@@ -37,7 +36,6 @@
 	Adopter    *adopt.Adopter
 	Lender     *lease.Lender
 	Shares     *lease.Shares
-	Loads      *loadtable.Table
 	Home       *home.Home
 	Quarantine *quarantine.Table
 	Tickets    Voider
@@ -65,7 +63,7 @@
 // Heartbeat answers a peer's heartbeat.
 func (x *Exchange) Heartbeat(ctx context.Context, req *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
 	x.opts.Directory.Heard(req.From, req.Draining)
-	x.opts.Loads.Merge(req.Loads)
+	x.opts.Home.Learn(req.Loads)
 	x.opts.Quarantine.Import(req.Quarantined)
 	holder := lease.Holder{ID: req.From.Id, Incarnation: req.From.Incarnation}
 	for _, backend := range req.Released {
--- a/fleet/heartbeat/sender.go
+++ b/fleet/heartbeat/sender.go
@@ -144,7 +144,7 @@
 		return "", err
 	}
 	x.opts.Directory.Heard(resp.From, resp.Draining)
-	x.opts.Loads.Merge(resp.Loads)
+	x.opts.Home.Learn(resp.Loads)
 	x.opts.Quarantine.Import(resp.Quarantined)
 	x.noteGrants(resp, sent)
 	x.fetchNewer(ctx, address, resp.Documents)
--- a/fleet/home/execute.go
+++ b/fleet/home/execute.go
@@ -101,7 +101,7 @@
 	}
 	perToken := (result.LastData - result.FirstData) / time.Duration(result.Events-1)
 	uncached := result.Usage.PromptTokens - result.Usage.CachedTokens
-	n.home.opts.Stragglers.Observe(n.vm.ID, result.FirstData, perToken, uncached)
+	n.detector().Observe(n.vm.ID, result.FirstData, perToken, uncached)
 }
 
 // failed types a failed call and notes a crash of the backend server.
--- a/fleet/home/home.go
+++ b/fleet/home/home.go
@@ -30,7 +30,7 @@
 	Shares     *lease.Shares
 	Loads      *loadtable.Table
 	Quarantine *quarantine.Table
-	Stragglers *straggler.Detector
+	Stragglers *straggler.Set
 	Client     *backend.Client
 	Config     func() *dynamic.Config // in force; nil before the first
 	Now        func() time.Time
@@ -288,6 +288,19 @@
 	return all
 }
 
+// Learn takes the accounts of other homes: their loads, and their times between
+// tokens, against which this home's own servers are compared.
+func (h *Home) Learn(loads []*peerpb.BackendLoad) {
+	h.opts.Loads.Merge(loads)
+	for _, load := range loads {
+		server, known := h.opts.Directory.Server(load.Backend)
+		if known && load.PerTokenUs > 0 {
+			perToken := time.Duration(load.PerTokenUs) * time.Microsecond
+			h.opts.Stragglers.Of(server.Service).Import(load.Backend, perToken)
+		}
+	}
+}
+
 // fullWeight is the weight of a backend server that is not slow, in permille.
 const fullWeight = 1000
 
@@ -313,8 +326,9 @@
 			InFlight:       uint32(counts.InFlight),
 			Queued:         uint32(counts.Queued),
 			Limit:          uint32(max(0, n.allowed())),
-			WeightPermille: uint32(fullWeight * h.opts.Stragglers.Weight(n.vm.ID)),
+			WeightPermille: uint32(fullWeight * n.detector().Weight(n.vm.ID)),
 			Leaving:        n.leaving.Load(),
+			PerTokenUs:     uint32(n.detector().PerToken(n.vm.ID).Microseconds()),
 		})
 	}
 	return loads
--- a/fleet/home/runner.go
+++ b/fleet/home/runner.go
@@ -8,6 +8,7 @@
 	"cassialatch.dev/config/dynamic"
 	"cassialatch.dev/fleet/admission"
 	"cassialatch.dev/fleet/backend"
+	"cassialatch.dev/fleet/straggler"
 	"cassialatch.dev/outcome"
 	"cassialatch.dev/wire/engineapi"
 	"cassialatch.dev/wire/platformapi"
@@ -101,6 +102,11 @@
 	return lent.Of(int(n.limit.Load())) - seen.work
 }
 
+// detector returns the detector of the server's service.
+func (n *runner) detector() *straggler.Detector {
+	return n.home.opts.Stragglers.Of(n.vm.Service)
+}
+
 // open reports whether the backend server may get work at all.
 func (n *runner) open() bool {
 	return n.homed.Load() && !n.leaving.Load() && n.external.known() && n.misses.Load() < maxMisses
--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -81,7 +81,7 @@
 	shares     *lease.Shares
 	loads      *loadtable.Table
 	quarantine *quarantine.Table
-	stragglers *straggler.Detector
+	stragglers *straggler.Set
 	index      *warm.Index
 	retries    *retry.Budget
 	limiter    *limit.Limiter
@@ -174,7 +174,7 @@
 	n.shares = lease.NewShares(n.now)
 	n.loads = loadtable.New(loadKeep, n.now)
 	n.quarantine = quarantine.New(quarantine.Options{}, n.now)
-	n.stragglers = straggler.New(straggler.Options{}, n.now)
+	n.stragglers = straggler.NewSet(straggler.Options{}, n.now)
 	n.index = warm.New(indexEntries)
 	n.retries = retry.NewBudget(defaultRetries, minRetries, n.now)
 	n.limiter = limit.New(limit.Options{})
@@ -205,7 +205,7 @@
 	})
 	n.exchange = heartbeat.New(heartbeat.Options{
 		Self: n.self, Directory: n.directory, Adopter: n.adopter, Lender: n.lender, Shares: n.shares,
-		Loads: n.loads, Home: n.home, Quarantine: n.quarantine, Tickets: n.executor,
+		Home: n.home, Quarantine: n.quarantine, Tickets: n.executor,
 		Peers: caller{n.control, n.peers}, Seeds: n.settings.Control.Seeds,
 		Interval: n.settings.Control.Heartbeat, MaxPeers: n.settings.Control.MaxPeers,
 		Now: n.now, Log: n.log,
