model: published lists that differ, calm, events by name

Cause: every end state of config.pml had the platform gone, so newest_valid was reached but never had anything to say; a counterexample was hard to read; two published lists at one time were not modelled.

Change: publications and faults may cease at any time (calm), so that end states with the platform up exist, and a mutant (documents read at the start only) shows that newest_valid can fail; mutants for all_serve and answer_is_true as well, so that each property has one. Each step prints its event, scripts/model.sh trace lists them. admit.pml with -DGROUPS: four lenders, each daemon counts three of them as a third each.

--- a/model/admit.pml
+++ b/model/admit.pml
@@ -22,7 +22,18 @@
 #define UNKNOWN 31
 #define MOST    (LIMIT + SLACK + 1)
 
-byte owner[N] = NOBODY;   /* who counts each lender's share */
+/* With -DGROUPS daemons hold one of two published lists: lenders 0 to 2, or
+ * 1 to 3. Each counts the lenders of its own list, each as 1/N. */
+#ifdef GROUPS
+#define LENDERS (N + 1)
+bool newer[N];            /* which list the daemon holds */
+#define IN_GROUP(d, l) ((newer[d] && l != 0) || (!newer[d] && l != N))
+#else
+#define LENDERS N
+#define IN_GROUP(d, l) true
+#endif
+
+byte owner[LENDERS] = NOBODY; /* whom each lender's share is lent to */
 byte foreign[N] = UNKNOWN;/* home: others' work by the last report */
 byte running[N];          /* engine: work of the present incarnations */
 byte orphans;             /* engine: work of ended incarnations */
@@ -36,7 +47,12 @@
 #endif
 
 /* (*Holder).Granted */
-#define GRANTED(d) ((owner[0] == d) + (owner[1] == d) + (owner[2] == d))
+#define COUNTED(d, l) (owner[l] == d && IN_GROUP(d, l))
+#ifdef GROUPS
+#define GRANTED(d) (COUNTED(d, 0) + COUNTED(d, 1) + COUNTED(d, 2) + COUNTED(d, 3))
+#else
+#define GRANTED(d) (COUNTED(d, 0) + COUNTED(d, 1) + COUNTED(d, 2))
+#endif
 
 #ifdef WAY_MAJORITY
 #define ALLOWED(d) ((GRANTED(d) * 2 > N) * LIMIT)
@@ -72,8 +88,12 @@
 #define REPORT_ENDS foreign[d] = UNKNOWN
 #endif
 #define STEP_SHARE(l) \
-	:: d_step { owner[l] == NOBODY -> owner[l] = d; REPORT_ENDS } \
-	:: d_step { owner[l] == d -> owner[l] = NOBODY; forget_report() }
+	:: d_step { owner[l] == NOBODY && IN_GROUP(d, l) -> \
+		printf("home %d: counts share %d\n", d, l); \
+		owner[l] = d; REPORT_ENDS } \
+	:: d_step { owner[l] == d -> \
+		printf("home %d: share %d ends\n", d, l); \
+		owner[l] = NOBODY; forget_report() }
 
 /* The report is useless to a daemon that counts no share. */
 inline forget_report()
@@ -87,8 +107,9 @@
 /* Work of the ended incarnation runs on; writes under way may still arrive. */
 inline crash()
 {
+	printf("daemon %d: crashes and restarts\n", d);
 	crashes--;
-	for (k : 0 .. N - 1) {
+	for (k : 0 .. LENDERS - 1) {
 		if
 		:: owner[k] == d -> owner[k] = NOBODY
 		:: else -> skip
@@ -109,15 +130,28 @@
 	byte k;
 	do
 	STEP_SHARE(0) STEP_SHARE(1) STEP_SHARE(2)
+#ifdef GROUPS
+	STEP_SHARE(3)
+	/* Another list: shares may be new to the count. */
+	:: d_step { newer[d] = !newer[d]; REPORT_ENDS;
+		printf("daemon %d: holds list %d\n", d, newer[d]) }
+#endif
 	/* (*Home).admit: a report asked for after the newest grant. */
 	:: d_step { GRANTED(d) > 0 && foreign[d] != ENGINE - running[d] ->
-		foreign[d] = ENGINE - running[d] }
+		foreign[d] = ENGINE - running[d];
+		printf("home %d: report, %d of others run\n", d, foreign[d]) }
 #ifdef GAP
 	/* A daemon has GAP requests at most between the check and the write. */
-	:: d_step { checked[d] < GAP && MAY_ADMIT(d) -> checked[d]++ }
-	:: d_step { checked[d] > 0 -> checked[d]--; running[d]++; check_limit() }
+	:: d_step { checked[d] < GAP && MAY_ADMIT(d) ->
+		printf("home %d: admits a request, not yet written\n", d);
+		checked[d]++ }
+	:: d_step { checked[d] > 0 ->
+		printf("home %d: writes a request to the engine\n", d);
+		checked[d]--; running[d]++; check_limit() }
 #else
-	:: d_step { MAY_ADMIT(d) -> running[d]++; check_limit() }
+	:: d_step { MAY_ADMIT(d) ->
+		printf("home %d: admits a request\n", d);
+		running[d]++; check_limit() }
 #endif
 	:: d_step { crashes > 0 -> crash() }
 	od
@@ -126,12 +160,14 @@
 proctype engine()
 {
 	do
-	:: d_step { running[0] > 0 -> running[0]-- }
-	:: d_step { running[1] > 0 -> running[1]-- }
-	:: d_step { running[2] > 0 -> running[2]-- }
+	:: d_step { running[0] > 0 -> running[0]--; printf("engine: finishes a request of home 0\n") }
+	:: d_step { running[1] > 0 -> running[1]--; printf("engine: finishes a request of home 1\n") }
+	:: d_step { running[2] > 0 -> running[2]--; printf("engine: finishes a request of home 2\n") }
 	:: d_step { orphans > 0 -> orphans-- }
 #ifdef GAP
-	:: d_step { late > 0 -> late--; orphans++; check_limit() }
+	:: d_step { late > 0 ->
+		printf("engine: a write of an ended incarnation arrives\n");
+		late--; orphans++; check_limit() }
 	:: d_step { late > 0 -> late-- }
 #endif
 	od
--- a/model/config.pml
+++ b/model/config.pml
@@ -28,6 +28,7 @@
 byte published[DOCUMENTS] = 1;
 bool valid[DOCUMENTS * NEWEST];  /* by itself */
 bool platform_gone;
+bool calm;                       /* no more publications and faults */
 byte held[N * DOCUMENTS];        /* adopted version, 0 is none */
 bool serving[N];
 bool asked[N * N];               /* a starting daemon has done with a peer */
@@ -69,12 +70,18 @@
 	PROPERTY(never_down, v >= HELD(d, x));
 	/* What is in force is valid. */
 	PROPERTY(valid_in_force, VALID(x, v));
+	printf("daemon %d: adopts document %d version %d\n", d, x, v);
 	HELD(d, x) = v
 }
 
 /* The platform answers with any version up to the newest. */
+#ifdef MUT_READ_AT_START_ONLY
+#define MAY_READ(d) (!platform_gone && !serving[d])
+#else
+#define MAY_READ(d) (!platform_gone)
+#endif
 #define STEP_READ(x, v) \
-	:: d_step { !platform_gone && v <= published[x] && ADOPTS(d, x, v) -> adopt(d, x, v) }
+	:: d_step { MAY_READ(d) && v <= published[x] && ADOPTS(d, x, v) -> adopt(d, x, v) }
 
 /* A heartbeat told of a higher version, FetchDocument brought it. */
 #define STEP_HEAR(e, x) \
@@ -82,10 +89,17 @@
 		adopt(d, x, HELD(e, x)) }
 
 /* (*Adopter).Ready: each peer has answered or cannot be reached. */
+#ifdef MUT_WAIT_FOR_STARTING
+#define NO_ANSWER(d, e) (!LINK(d, e))
+#else
+#define NO_ANSWER(d, e) (!LINK(d, e) || !serving[e])
+#endif
 #define STEP_ASK(e) \
-	:: d_step { e != d && !serving[d] && !asked[d * N + e] && (!LINK(d, e) || !serving[e]) -> \
+	:: d_step { e != d && !serving[d] && !asked[d * N + e] && NO_ANSWER(d, e) -> \
+		printf("daemon %d: cannot ask peer %d\n", d, e); \
 		asked[d * N + e] = true } \
 	:: d_step { e != d && !serving[d] && !asked[d * N + e] && LINK(d, e) && serving[e] -> \
+		printf("daemon %d: asks peer %d\n", d, e); \
 		asked[d * N + e] = true; take(d, e, BASE); take(d, e, OVERLAY) }
 
 inline take(d, e, x)
@@ -109,6 +123,7 @@
 
 inline serve()
 {
+	printf("daemon %d: serves\n", d);
 	serving[d] = true;
 	starting--;
 	if
@@ -137,6 +152,7 @@
 /* A crash forgets all; what the peers serve is noted for the check only. */
 inline crash()
 {
+	printf("daemon %d: crashes and restarts\n", d);
 	crashes--;
 	for (k : 0 .. N - 1) {
 		if
@@ -177,14 +193,16 @@
 	STEP_HEAR(0, OVERLAY) STEP_HEAR(1, OVERLAY) STEP_HEAR(2, OVERLAY)
 	STEP_ASK(0) STEP_ASK(1) STEP_ASK(2)
 	:: d_step { !serving[d] && READY(d) -> serve() }
-	:: d_step { crashes > 0 && serving[d] -> crash() }
+	:: d_step { !calm && crashes > 0 && serving[d] -> crash() }
 	od
 }
 
 /* Each publication is valid or not. */
 #define STEP_PUBLISH(x) \
-	:: d_step { published[x] < NEWEST -> published[x]++ } \
-	:: d_step { published[x] < NEWEST -> published[x]++; \
+	:: d_step { !calm && published[x] < NEWEST -> published[x]++; \
+		printf("platform: document %d version %d, not valid\n", x, published[x]) } \
+	:: d_step { !calm && published[x] < NEWEST -> published[x]++; \
+		printf("platform: document %d version %d\n", x, published[x]); \
 		valid[x * NEWEST + published[x] - 1] = true }
 
 proctype platform()
@@ -193,14 +211,17 @@
 	do
 	STEP_PUBLISH(BASE)
 	STEP_PUBLISH(OVERLAY)
-	:: d_step { !platform_gone && starting == 0 -> platform_gone = true }
+	:: d_step { !calm && !platform_gone && starting == 0 ->
+		printf("platform: is gone for good\n"); platform_gone = true }
+	:: d_step { !calm -> calm = true; printf("no more publications and faults\n") }
 	od
 }
 
 /* A link that is cut is mended later: in the end messages flow. */
 #define STEP_CUT(i) \
-	:: d_step { cuts > 0 && !cut[i] -> cuts--; cut[i] = true; lose_peer(i) } \
-	:: d_step { cut[i] -> cut[i] = false }
+	:: d_step { !calm && cuts > 0 && !cut[i] -> cuts--; cut[i] = true; lose_peer(i); \
+		printf("network: cuts the link that daemon %d has no part in\n", i) } \
+	:: d_step { cut[i] -> cut[i] = false; printf("network: mends the link\n") }
 
 inline lose_peer(i)
 {
--- a/model/lease.pml
+++ b/model/lease.pml
@@ -124,18 +124,22 @@
 /* (*Holder).Share: a claim is under way from its local sending time on. */
 #define STEP_CLAIM(l) \
 	:: d_step { !draining[d] && message[PAIR(d, l)] == NONE && transit < TRANSIT -> \
+		printf("holder %d: sends a claim to lender %d\n", d, l); \
 		send(d, l, CLAIM) }
 
 /* (*Lender).Grant: the loan runs from now, the answer keeps the claim's age. */
 #define STEP_GRANT(c) \
 	:: d_step { IS_CLAIM(message[PAIR(c, d)]) && MAY_GRANT(d, c) -> \
+		printf("lender %d: grants its share to holder %d\n", d, c); \
 		holder[d] = c; loan[d] = TTL; \
 		message[PAIR(c, d)] = message[PAIR(c, d)] - CLAIM + GRANT }
 
 /* (*Holder).Share: counted from the sending time; a share that is new makes
  * the last report too old. */
 #define STEP_RECEIVE(l) \
-	:: d_step { IS_GRANT(message[PAIR(d, l)]) -> receive(PAIR(d, l), l) }
+	:: d_step { IS_GRANT(message[PAIR(d, l)]) -> \
+		printf("holder %d: receives the grant of lender %d\n", d, l); \
+		receive(PAIR(d, l), l) }
 
 #ifdef MUT_COUNT_FROM_RECEIPT
 #define LEFT(m) (TTL)
@@ -177,7 +181,9 @@
 #define SPEND_RELEASE skip
 #endif
 #define STEP_RELEASE(l) \
-	:: d_step { MAY_RELEASE(l) -> holder[l] = NOBODY; loan[l] = 0; SPEND_RELEASE }
+	:: d_step { MAY_RELEASE(l) -> \
+		printf("lender %d: holder %d gives its share back\n", l, d); \
+		holder[l] = NOBODY; loan[l] = 0; SPEND_RELEASE }
 
 #define STEP_FORGET(l) \
 	:: d_step { held[PAIR(d, l)] && share[PAIR(d, l)] <= MARGIN -> held[PAIR(d, l)] = false }
@@ -205,6 +211,7 @@
 
 inline drain()
 {
+	printf("daemon %d: drains\n", d);
 	drains--;
 	draining[d] = true;
 	end_shares(d)
@@ -213,6 +220,7 @@
 /* A crash forgets all; the next incarnation starts in the same step. */
 inline crash()
 {
+	printf("daemon %d: crashes and restarts\n", d);
 	crashes--;
 	for (k : 0 .. N - 1) {
 		if
@@ -264,16 +272,22 @@
 #ifndef SHARES_ONLY
 	/* (*Home).admit: a report asked for after the newest grant. */
 	:: d_step { GRANTED(d) > 0 && foreign[d] != ENGINE - running[d] ->
-		foreign[d] = ENGINE - running[d] }
+		foreign[d] = ENGINE - running[d];
+		printf("home %d: report, %d of others run\n", d, foreign[d]) }
 #ifdef GAP
 	:: d_step { !draining[d] && checked[d] < GAP && MAY_ADMIT(d) ->
 #ifdef GAP_TICKS
 		gap_left[d] = GAP_TICKS;
 #endif
+		printf("home %d: admits a request, not yet written\n", d);
 		checked[d]++ }
-	:: d_step { checked[d] > 0 -> checked[d]--; running[d]++; check_limit() }
+	:: d_step { checked[d] > 0 ->
+		printf("home %d: writes a request to the engine\n", d);
+		checked[d]--; running[d]++; check_limit() }
 #else
-	:: d_step { !draining[d] && MAY_ADMIT(d) -> running[d]++; check_limit() }
+	:: d_step { !draining[d] && MAY_ADMIT(d) ->
+		printf("home %d: admits a request\n", d);
+		running[d]++; check_limit() }
 #endif
 #endif
 	/* Daemon 0 stands for any: the daemons are alike. */
@@ -283,6 +297,7 @@
 
 inline lose(p)
 {
+	printf("network: loses a message of holder %d and lender %d\n", p / N, p % N);
 	clear(p)
 }
 
@@ -300,9 +315,9 @@
 proctype engine()
 {
 	do
-	:: d_step { running[0] > 0 -> running[0]-- }
-	:: d_step { running[1] > 0 -> running[1]-- }
-	:: d_step { running[2] > 0 -> running[2]-- }
+	:: d_step { running[0] > 0 -> running[0]--; printf("engine: finishes a request of home 0\n") }
+	:: d_step { running[1] > 0 -> running[1]--; printf("engine: finishes a request of home 1\n") }
+	:: d_step { running[2] > 0 -> running[2]--; printf("engine: finishes a request of home 2\n") }
 	:: d_step { orphans > 0 -> orphans-- }
 	od
 }
@@ -326,6 +341,7 @@
 
 inline tick()
 {
+	printf("clock: one tick passes\n");
 	for (i : 0 .. N - 1) {
 		down(loan[i]);
 		if
--- a/model/order.pml
+++ b/model/order.pml
@@ -37,9 +37,12 @@
 {
 end:
 	do
-	:: d_step { held[d] < NEWEST -> held[d]++ }
-	:: d_step { seen[d] != applied -> seen[d] = applied }
+	:: d_step { held[d] < NEWEST -> held[d]++; printf("daemon %d: adopts version %d\n", d, held[d]) }
+	:: d_step { seen[d] != applied ->
+		printf("daemon %d: sees version %d at the engine\n", d, applied);
+		seen[d] = applied }
 	:: d_step { order[d] == 0 && MAY_SEND(d) ->
+		printf("daemon %d: sends order %d\n", d, held[d]);
 		order[d] = held[d];
 		sent[d * (NEWEST + 1) + held[d]] = true;
 		seen[d] = UNKNOWN }
@@ -48,6 +51,7 @@
 
 inline take(d)
 {
+	printf("engine: receives order %d of daemon %d\n", order[d], d);
 	if
 	:: TAKES(order[d]) ->
 		/* An old order never takes effect after a newer one. */
--- a/model/ticket.pml
+++ b/model/ticket.pml
@@ -67,6 +67,7 @@
 
 inline tell_not_run(k)
 {
+	printf("  told: ticket %d not run\n", k);
 	/* "Not run" is told only of a booking that did not run. */
 	PROPERTY(not_run_is_true, !ran[k]);
 	not_run[k] = true
@@ -102,33 +103,54 @@
 #define STEP_EXECUTOR(k) \
 	/* (*Book).Start */ \
 	:: d_step { IS_EXECUTOR(k, d) && ARRIVED(k, d) && MAY_START(k) && !expired[k] -> \
+		printf("executor %d: starts ticket %d\n", d, k); \
 		book[k] = STARTED; wrote[k] = false } \
 	:: d_step { IS_EXECUTOR(k, d) && ARRIVED(k, d) && book[k] == UNUSED && !expired[k] -> \
+		printf("executor %d: refuses ticket %d\n", d, k); \
 		REMEMBER_REFUSAL(k); tell_not_run(k) } \
 	/* One write to the backend server; the transport never repeats it. */ \
 	:: d_step { IS_EXECUTOR(k, d) && book[k] == STARTED && connection[k] == CLOSED && MAY_WRITE(k) -> \
+		printf("executor %d: writes the request of ticket %d\n", d, k); \
 		connection[k] = WRITTEN; wrote[k] = true } \
 	/* (*Book).Finish: no byte was written. */ \
 	:: d_step { IS_EXECUTOR(k, d) && book[k] == STARTED && connection[k] == CLOSED && !wrote[k] -> \
+		printf("executor %d: cannot connect for ticket %d\n", d, k); \
 		book[k] = VOIDED; tell_not_run(k) } \
 	/* (*Book).Finish: the whole answer came. */ \
 	:: d_step { IS_EXECUTOR(k, d) && book[k] == STARTED && connection[k] == RAN -> \
+		printf("executor %d: has the answer of ticket %d\n", d, k); \
 		book[k] = ANSWERED; connection[k] = CLOSED; tell_answer(k) } \
 	/* (*Book).Finish: the connection broke, the request may run yet. */ \
 	:: d_step { IS_EXECUTOR(k, d) && book[k] == STARTED && wrote[k] -> \
+		printf("executor %d: sees the connection of ticket %d broken\n", d, k); \
 		book[k] = BROKEN; tell_broken(k) } \
+	STEP_TRUNCATED(k) \
 	/* A resend gets the kept outcome. */ \
 	:: d_step { IS_EXECUTOR(k, d) && ARRIVED(k, d) && book[k] == ANSWERED && !dropped[k] && !answer[k] -> \
+		printf("executor %d: resend, kept answer of ticket %d\n", d, k); \
 		tell_answer(k) } \
 	:: d_step { IS_EXECUTOR(k, d) && ARRIVED(k, d) && book[k] == VOIDED && !dropped[k] && !not_run[k] -> \
+		printf("executor %d: resend, ticket %d is voided\n", d, k); \
 		tell_not_run(k) } \
 	/* Refused as expired, while the book surely knows that it never started. */ \
 	:: d_step { IS_EXECUTOR(k, d) && ARRIVED(k, d) && expired[k] && MAY_TELL_EXPIRED(k) && !not_run[k] -> \
+		printf("executor %d: refuses ticket %d as expired\n", d, k); \
 		tell_not_run(k) } \
 	/* (*Book).Void */ \
 	:: d_step { IS_EXECUTOR(k, d) && withdrawal[k] && MAY_VOID(k) && !voided[k] -> \
+		printf("executor %d: voids ticket %d\n", d, k); \
 		REMEMBER_VOID(k); voided[k] = true }
 
+/* An answer without its end is no answer. */
+#ifdef MUT_TRUNCATED_ANSWER
+#define STEP_TRUNCATED(k) \
+	:: d_step { IS_EXECUTOR(k, d) && book[k] == STARTED && wrote[k] && connection[k] == CLOSED -> \
+		printf("executor %d: takes the closed connection of ticket %d for an answer\n", d, k); \
+		book[k] = ANSWERED; tell_answer(k) }
+#else
+#define STEP_TRUNCATED(k)
+#endif
+
 #define MAY_VOID(k) (!dropped[k] && (book[k] == UNUSED || book[k] == VOIDED))
 
 #ifdef MUT_FORGET_EXPIRED
@@ -154,11 +176,15 @@
 
 /* Any other daemon forwards; a dead incarnation's ticket never runs. */
 #define STEP_FORWARDER(k) \
-	:: d_step { issued > k && executor[k] != d && TO(k, d) && !forward[k] -> forward[k] = true } \
-	:: d_step { issued > k && executor[k] != d && TO(k, d) && !withdrawal[k] -> withdrawal[k] = true } \
+	:: d_step { issued > k && executor[k] != d && TO(k, d) && !forward[k] -> \
+		printf("daemon %d: forwards ticket %d\n", d, k); forward[k] = true } \
+	:: d_step { issued > k && executor[k] != d && TO(k, d) && !withdrawal[k] -> \
+		printf("daemon %d: sends VoidTicket of ticket %d\n", d, k); withdrawal[k] = true } \
 	:: d_step { issued > k && executor[k] != d && TO(k, d) && MAY_TELL_VOIDED(k) && !not_run[k] -> \
+		printf("daemon %d: forwarder ends ticket %d\n", d, k); \
 		tell_not_run(k) } \
-	:: d_step { issued > k && executor[k] != d && TO(k, d) && !unknown[k] -> unknown[k] = true } \
+	:: d_step { issued > k && executor[k] != d && TO(k, d) && !unknown[k] -> \
+		printf("daemon %d: tells unknown for ticket %d\n", d, k); unknown[k] = true } \
 	:: d_step { IS_DEAD(k, d) && ARRIVED(k, d) && MAY_TELL_DEAD(k) -> tell_dead(k) } \
 	STEP_VOID_DEAD(k)
 
@@ -174,6 +200,7 @@
 #define MAY_TELL_DEAD(k) (!unknown[k])
 inline tell_dead(k)
 {
+	printf("daemon %d: ticket %d is of an earlier incarnation\n", d, k);
 #ifdef MUT_NOT_RUN_WHEN_DEAD
 	tell_not_run(k);
 #endif
@@ -183,7 +210,8 @@
 /* A later incarnation knows nothing of the ticket and answers UNKNOWN. */
 #ifdef MUT_VOID_BY_OTHER_INCARNATION
 #define STEP_VOID_DEAD(k) \
-	:: d_step { IS_DEAD(k, d) && withdrawal[k] && !voided[k] -> voided[k] = true }
+	:: d_step { IS_DEAD(k, d) && withdrawal[k] && !voided[k] -> \
+		printf("daemon %d: answers VOIDED for earlier ticket %d\n", d, k); voided[k] = true }
 #else
 #define STEP_VOID_DEAD(k)
 #endif
@@ -203,6 +231,7 @@
 
 inline crash()
 {
+	printf("daemon %d: crashes and restarts\n", d);
 	crashes--;
 	incarnation[d]++;
 #if TICKETS > 2
@@ -227,6 +256,7 @@
 
 inline run_booking(k)
 {
+	printf("server: runs the booking of ticket %d\n", k);
 	connection[k] = RAN;
 	ran[k] = true;
 	ledger++;
@@ -237,12 +267,16 @@
 
 #define STEP_SERVER(k) \
 	:: d_step { connection[k] == WRITTEN -> run_booking(k) } \
-	:: d_step { connection[k] == WRITTEN -> connection[k] = CLOSED } \
-	:: d_step { connection[k] == RAN -> connection[k] = CLOSED } \
+	:: d_step { connection[k] == WRITTEN -> \
+		printf("network: loses the request of ticket %d\n", k); connection[k] = CLOSED } \
+	:: d_step { connection[k] == RAN -> \
+		printf("network: loses the answer of ticket %d\n", k); connection[k] = CLOSED } \
 	/* Time passes for a ticket. */ \
-	:: d_step { issued > k && !expired[k] -> expired[k] = true } \
+	:: d_step { issued > k && !expired[k] -> \
+		printf("clock: ticket %d expires\n", k); expired[k] = true } \
 	/* Past the time to keep: only a ticket with a final state is dropped. */ \
-	:: d_step { expired[k] && !dropped[k] && book[k] != STARTED -> dropped[k] = true }
+	:: d_step { expired[k] && !dropped[k] && book[k] != STARTED -> \
+		printf("executor: drops ticket %d from the book\n", k); dropped[k] = true }
 
 proctype server()
 {
@@ -265,6 +299,7 @@
 
 inline take_ticket(d)
 {
+	printf("caller: takes ticket %d of executor %d\n", issued, d);
 	executor[issued] = d;
 	named[issued] = incarnation[d];
 	issued++
@@ -277,8 +312,10 @@
 	:: d_step { issued == 0 -> take_ticket(0) }
 	:: d_step { issued > 0 && issued < TICKETS && MAY_TAKE_NEW -> take_ticket(0) }
 	:: d_step { issued > 0 && issued < TICKETS && MAY_TAKE_NEW -> take_ticket(1) }
-	:: d_step { issued > 0 && !TO(LATEST, 0) -> TO(LATEST, 0) = true }
-	:: d_step { issued > 0 && !TO(LATEST, 1) -> TO(LATEST, 1) = true }
+	:: d_step { issued > 0 && !TO(LATEST, 0) ->
+		printf("caller: sends ticket %d to daemon 0\n", LATEST); TO(LATEST, 0) = true }
+	:: d_step { issued > 0 && !TO(LATEST, 1) ->
+		printf("caller: sends ticket %d to daemon 1\n", LATEST); TO(LATEST, 1) = true }
 	od
 }
 
--- a/model/visible.pml
+++ b/model/visible.pml
@@ -30,6 +30,7 @@
 {
 	do
 	:: d_step { MAY_SERVE && HOME(d) && running[d] < ALLOWED(d) ->
+		printf("home %d: admits a request\n", d);
 		running[d]++;
 		/* The engine never runs more than the limit. */
 		PROPERTY(engine_limit, running[0] + running[1] + running[2] <= LIMIT) }
@@ -41,9 +42,9 @@
 proctype network()
 {
 	do
-	:: d_step { IDLE -> down[0] = !down[0] }
-	:: d_step { IDLE -> down[1] = !down[1] }
-	:: d_step { IDLE -> down[2] = !down[2] }
+	:: d_step { IDLE -> down[0] = !down[0]; printf("network: link of 1 and 2 changes\n") }
+	:: d_step { IDLE -> down[1] = !down[1]; printf("network: link of 0 and 2 changes\n") }
+	:: d_step { IDLE -> down[2] = !down[2]; printf("network: link of 0 and 1 changes\n") }
 	od
 }
 
--- a/scripts/model.sh
+++ b/scripts/model.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Runs the model checks of model/checks.txt: "model.sh check" or "model.sh mutants".
-# A counterexample to be read is shown by: model.sh trace SPECIFICATION SWITCH...
+# A counterexample to be read is shown by: model.sh trace SPECIFICATION PROPERTY SWITCH...
 set -uo pipefail
 cd "$(dirname "$0")/.."
 
@@ -111,12 +111,13 @@
 	[ "$number" -gt 0 ] && [ "$failed" = 0 ]
 }
 
-# Prints the shortest counterexample of a specification with switches.
+# Prints the shortest counterexample of specification $1 to property $2 as a list of events.
 trace() {
-	local spec=$MODEL_DIR/$1
-	shift
-	search_shortest "$OUT_DIR-trace" "$spec" "$@"
-	spin -k "$(basename "$spec").trail" -p -g "$@" "$spec"
+	local dir=$OUT_DIR-trace copy=$OUT_DIR-trace.pml
+	mkdir -p "$dir"
+	keep "$MODEL_DIR/$1" "$copy" "$2"
+	search_shortest "$dir" "$copy" "${@:3}" || return 1
+	spin -T -k "$(basename "$copy").trail" "${@:3}" "$copy" | sed -n '/^spin: text/p; /^spin:/q; /^ *[a-z]*.*:/p'
 }
 
 command -v spin >/dev/null || { echo "spin is not installed"; exit 1; }
@@ -124,5 +125,5 @@
 check) run_all 'holds|reaches|expected' ;;
 mutants) run_all mutant ;;
 trace) trace "${@:2}" ;;
-*) echo "usage: model.sh check | mutants | trace SPECIFICATION SWITCH..."; exit 2 ;;
+*) echo "usage: model.sh check | mutants | trace SPECIFICATION PROPERTY SWITCH..."; exit 2 ;;
 esac
