--- a/model/lease.pml
+++ b/model/lease.pml
@@ -217,6 +217,15 @@
 	end_shares(d)
 }
 
+/* NewLender: as long as the longest loan of any earlier incarnation. */
+#if defined(MUT_NO_START_WAIT)
+#define START_WAIT 0
+#elif defined(MUT_SHORT_START_WAIT)
+#define START_WAIT (TTL - 1)
+#else
+#define START_WAIT TTL
+#endif
+
 /* A crash forgets all; the next incarnation starts in the same step. */
 inline crash()
 {
@@ -235,9 +244,7 @@
 	end_shares(d);
 	holder[d] = NOBODY;
 	loan[d] = 0;
-#ifndef MUT_NO_START_WAIT
-	wait[d] = TTL; /* NewLender */
-#endif
+	wait[d] = START_WAIT;
 	draining[d] = false;
 	orphans = orphans + running[d];
 	running[d] = 0;
--- a/scripts/model.sh
+++ b/scripts/model.sh
@@ -38,11 +38,29 @@
 	sed -n "${line:-0}{s/.*PROPERTY(\([a-z_]*\),.*/\1/p;s/.*assert(false).*/witness/p}" "$1" 2>/dev/null
 }
 
+# Prints the names of the properties of specification $1.
+properties_of() { sed -n 's/.*PROPERTY(\([a-z_]*\),.*/\1/p' "$1" | grep -vx name; }
+
+# Fails unless each property is checked by some run and broken by some other.
+all_listed() {
+	local spec property failed=0
+	for spec in "$MODEL_DIR"/*.pml; do
+		for property in $(properties_of "$spec"); do
+			has_run 'holds|expected' "$spec" "$property" || { echo "FAIL ${spec##*/}: no run checks $property"; failed=1; }
+			has_run 'mutant|expected' "$spec" "$property" || { echo "FAIL ${spec##*/}: no run breaks $property"; failed=1; }
+		done
+	done
+	return $failed
+}
+
+# Tells whether checks.txt has a run of kind $1 of specification $2 with property $3.
+has_run() { grep -qE "^($1) *\| ${2##*/} .*\|.*\b$3\b" "$MODEL_DIR/checks.txt"; }
+
 # Writes a copy of specification $1 to $2 that checks only the other arguments, its properties.
 keep() {
 	local spec=$1 copy=$2 property
 	cp "$spec" "$copy"
-	for property in $(sed -n 's/.*[^ ]*PROPERTY(\([a-z_]*\),.*/\1/p' "$spec" | grep -vx name); do
+	for property in $(properties_of "$spec"); do
 		[[ " ${*:3} " == *" $property "* ]] || set_condition "$copy" "$property" true
 	done
 }
@@ -122,7 +140,7 @@
 
 command -v spin >/dev/null || { echo "spin is not installed"; exit 1; }
 case ${1:-} in
-check) run_all 'holds|reaches|expected' ;;
+check) all_listed && run_all 'holds|reaches|expected' ;;
 mutants) run_all mutant ;;
 trace) trace "${@:2}" ;;
 *) echo "usage: model.sh check | mutants | trace SPECIFICATION PROPERTY SWITCH..."; exit 2 ;;
