cassialatch, tests: the tool works over mutual TLS with real daemons

Cause: the tool checked a daemon's host name, and the fleet's certificates carry a role instead, so it never reached a daemon with TLS on; its test used a certificate with an IP address, which real ones have not. The home logs each request. Before: status over TLS failed with 'doesn't contain any IP SANs'. Conclusion: one place knows how certificates are checked.

--- a/cassialatch/internal/daemonclient/options.go
+++ b/cassialatch/internal/daemonclient/options.go
@@ -2,16 +2,16 @@
 
 import (
 	"crypto/tls"
-	"crypto/x509"
 	"flag"
 	"net"
 	"net/http"
-	"os"
 
 	"github.com/cockroachdb/errors"
 
 	"cassialatch.dev/cassialatch/internal/command"
 	"cassialatch.dev/config/problem"
+	"cassialatch.dev/config/setting"
+	"cassialatch.dev/fleet/mtls"
 )
 
 // Options tell how to reach a daemon.
@@ -75,28 +75,15 @@
 	return nil
 }
 
+// tlsConfig returns the configuration of mutual TLS. Daemons are known by the
+// role in their certificates, as they have no lasting names.
 func (o Options) tlsConfig() (*tls.Config, error) {
-	text, err := os.ReadFile(o.CA)
-	if err != nil {
-		return nil, unreadable(o.CA, err)
-	}
-	roots := x509.NewCertPool()
-	if !roots.AppendCertsFromPEM(text) {
-		return nil, errors.WithStack(problem.Errors{{
-			File: o.CA, Kind: problem.Syntax, Expected: "a certificate in PEM", Got: "none",
-		}})
-	}
-	pair, err := tls.LoadX509KeyPair(o.Cert, o.Key)
-	if err != nil {
-		return nil, unreadable(o.Cert, err)
+	_, client, err := mtls.Config(setting.TLS{
+		Mode: setting.TLSMutual, CA: o.CA, Cert: o.Cert, Key: o.Key,
+	})
+	var bad *mtls.FileError
+	if errors.As(err, &bad) {
+		return nil, errors.WithStack(problem.Errors{problem.NewUnreadable(bad.File, bad.Unwrap())})
 	}
-	return &tls.Config{
-		MinVersion:   tls.VersionTLS13,
-		RootCAs:      roots,
-		Certificates: []tls.Certificate{pair},
-	}, nil
-}
-
-func unreadable(file string, err error) error {
-	return errors.WithStack(problem.Errors{problem.NewUnreadable(file, err)})
+	return client, err
 }
--- a/fleet/home/execute.go
+++ b/fleet/home/execute.go
@@ -37,7 +37,10 @@
 	span := n.spans.begin()
 	defer n.spans.finish(span)
 	h.opts.Observer.QueueWait(start.Workspace, dynamic.Class(start.Class), slot.Waited())
-	return n.run(ctx, start, body, sink)
+	err = n.run(ctx, start, body, sink)
+	h.opts.Log.Debug().Str("request", start.RequestId).Str("backend", n.vm.ID).
+		Dur("queued", slot.Waited()).Err(err).Msg("request ran")
+	return err
 }
 
 // acquire waits for a slot.
--- a/fleet/home/home.go
+++ b/fleet/home/home.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"cassialatch.dev/config/dynamic"
 	"cassialatch.dev/fleet/backend"
 	"cassialatch.dev/fleet/lease"
@@ -35,6 +37,7 @@
 	Config     func() *dynamic.Config // in force; nil before the first
 	Now        func() time.Time
 	Observer   Observer
+	Log        zerolog.Logger
 }
 
 // releaseRepeat is how long a release is repeated to lenders.
--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -190,7 +190,7 @@
 	n.home = home.New(n.ctx, home.Options{
 		Self: holder, Directory: n.directory, Lender: n.lender, Shares: n.shares, Loads: n.loads,
 		Quarantine: n.quarantine, Stragglers: n.stragglers, Client: n.client,
-		Config: n.adopter.Config, Now: n.now, Observer: observer{n.metrics},
+		Config: n.adopter.Config, Now: n.now, Observer: observer{n.metrics}, Log: n.log,
 	})
 	n.router = router.New(router.Options{
 		SelfID: n.self.Id, Directory: n.directory, Loads: n.loads, Planner: n.planner(),
