fleet/node: metrics closed when the node stops

Cause: the report loop of the metrics outlived the node; goleak counted 11 of them after a test binary that had started nine daemons and restarted two. Change: close() ends the loop and reports what was counted last. Before/after: goleak in tests/invariant failed with 11 goroutines in tally's reportLoop; passes now.

--- a/fleet/node/run.go
+++ b/fleet/node/run.go
@@ -165,6 +165,9 @@
 	n.control.Close()
 	_ = n.peers.Close() // only idle connections are left
 	n.client.Close()
+	if err := n.metrics.Close(); err != nil {
+		n.log.Warn().Err(err).Msg("metrics not closed")
+	}
 }
 
 // countPeer counts a control connection to a peer.
