fleet/executor: what the executor told of a ticket stands

Cause: a daemon that passes a ticket on withdraws it when the way to the executor failed, and took the executor's own "home not reached" (the same code) for such a failure. It then found the ticket ended, and told the caller "unknown, send it again" for a booking that had not run, at each resend anew. Ruled out: another code for the failed way, since callers match on codes. Change: a decoded refusal has a *forward.RemoteError as its cause; settle asks the executor only where there is none. Before/after: TestWithdrawnTicketNeverRuns/executor_did_not_reach_the_home said "unknown != not-run"; passes now. Conclusion: a booking that could run is no longer refused for this reason.

--- a/fleet/executor/executor.go
+++ b/fleet/executor/executor.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"cassialatch.dev/fleet/forward"
 	"cassialatch.dev/fleet/lease"
@@ -110,9 +111,10 @@
 // settle turns a failure to pass a request on into what is known of its
 // ticket. That this daemon did not reach the executor does not mean that the
 // ticket never ran: an earlier copy may have. Only a ticket withdrawn by its
-// executor is known not to run.
+// executor is known not to run. What the executor itself told stands.
 func (x *Executor) settle(ctx context.Context, t ticket.Ticket, text string, failure *outcome.Error) *outcome.Error {
-	if failure.Code != outcome.CodePeerFailed && failure.Code != outcome.CodeTruncated {
+	lost := failure.Code == outcome.CodePeerFailed || failure.Code == outcome.CodeTruncated
+	if !lost || errors.HasType(failure, (*forward.RemoteError)(nil)) {
 		failure.Replan = false
 		return failure
 	}
--- a/fleet/forward/forward.go
+++ b/fleet/forward/forward.go
@@ -70,6 +70,13 @@
 	return h
 }
 
+// RemoteError is the cause of a failure that a peer told of, unlike one of the
+// way to it.
+type RemoteError struct{}
+
+// Error implements error.
+func (*RemoteError) Error() string { return "forward: told by the peer" }
+
 // EncodeError returns the message that carries err to a peer.
 func EncodeError(err error) *peerpb.Refusal {
 	e := outcome.From(err)
@@ -89,11 +96,12 @@
 	if r.Outcome == string(outcome.NotRun) {
 		result = outcome.NotRun
 	}
-	return &outcome.Error{
+	e := &outcome.Error{
 		Outcome:    result,
 		Code:       outcome.Code(r.Code),
 		Message:    r.Message,
 		RetryAfter: time.Duration(r.RetryAfterMs) * time.Millisecond,
 		Replan:     r.Replan,
 	}
+	return e.WithCause(&RemoteError{})
 }
