entry: a draining daemon refuses tickets instead of giving none

Cause: GET /v1/entry of a draining daemon answered 200 without the tickets that were asked for; callers took it for an answer and did not ask another daemon. A call without a ticket was given one of the draining daemon, which may be gone before the ticket is used. Change: a draining daemon answers both with 503 draining, not run; it still names the addresses to callers that ask for no ticket. Test by processes: rolling restart of nine daemons under steady chats and bookings.

--- a/fleet/entry/addresses.go
+++ b/fleet/entry/addresses.go
@@ -36,17 +36,21 @@
 		writeError(w, outcome.NewNotRun(outcome.CodeNotReady, "daemon is not ready").WithRetryAfter(time.Second))
 		return
 	}
+	draining := s.opts.Directory.Draining()
+	if draining {
+		w.Header().Set("Connection", "close")
+	}
+	asked := r.URL.Query().Get("tickets")
+	if draining && ticketCount(asked) > 0 {
+		writeError(w, errDraining)
+		return
+	}
 	answer := Answer{
 		Addresses: s.addresses(),
 		TTLMs:     s.opts.Limits.EntryTTL.Milliseconds(),
-	}
-	if !s.opts.Directory.Draining() {
-		answer.Tickets = s.tickets(r.URL.Query().Get("tickets"))
+		Tickets:   s.tickets(ticketCount(asked)),
 	}
 	w.Header().Set("Content-Type", "application/json")
-	if s.opts.Directory.Draining() {
-		w.Header().Set("Connection", "close")
-	}
 	_ = json.NewEncoder(w).Encode(answer) // the caller may be gone
 }
 
@@ -67,14 +71,23 @@
 	return addresses
 }
 
-// tickets returns as many tickets as asked for.
-func (s *Server) tickets(asked string) []string {
+// errDraining refuses a ticket of this daemon, which may be gone before the
+// ticket is used. Another daemon gives one.
+var errDraining = outcome.NewNotRun(outcome.CodeDraining, "daemon is draining: ask another one for tickets")
+
+// ticketCount returns how many tickets to give when so many are asked for.
+func ticketCount(asked string) int {
 	n, err := strconv.Atoi(asked)
-	if err != nil || n <= 0 {
-		return nil
+	if err != nil {
+		return 0
 	}
-	tickets := make([]string, 0, min(n, maxTickets))
-	for range min(n, maxTickets) {
+	return min(max(n, 0), maxTickets)
+}
+
+// tickets returns n new tickets.
+func (s *Server) tickets(n int) []string {
+	tickets := make([]string, 0, n)
+	for range n {
 		tickets = append(tickets, s.ticket())
 	}
 	return tickets
--- a/fleet/entry/service.go
+++ b/fleet/entry/service.go
@@ -34,6 +34,9 @@
 		return s.routePlain(c, start, body)
 	}
 	start.Ticket = c.r.Header.Get(outcome.HeaderTicket)
+	if start.Ticket == "" && s.opts.Directory.Draining() {
+		return errDraining
+	}
 	if start.Ticket == "" {
 		c.w.Header().Set(outcome.HeaderTicket, s.ticket())
 		return outcome.NewNotRun(outcome.CodeTicketRequired, "call may not be repeated: send it with the ticket of this answer")
--- a/standin/scenario/run.go
+++ b/standin/scenario/run.go
@@ -19,6 +19,7 @@
 	Run      string          // makes ids differ between runs
 	Progress func(Summary)   // called each second; nil: not at all
 	Failure  func(err error) // called with each failed request; nil: not at all
+	Stop     <-chan struct{} // once closed, no chat and no booking starts; nil: never
 }
 
 // runner is a scenario under way.
@@ -39,6 +40,13 @@
 	defer r.http.CloseIdleConnections()
 	stop, cancel := context.WithTimeout(ctx, s.Duration.Duration)
 	defer cancel()
+	go func() {
+		select {
+		case <-o.Stop:
+			cancel()
+		case <-stop.Done():
+		}
+	}()
 	for _, g := range s.Chats {
 		r.startChats(ctx, stop, g)
 	}
