--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,12 @@
 demo:
 	scripts/demo.sh
 
+# Figures go to out/bench; docs/CAPACITY.md says how they are read.
+bench:
+	go build -o .bin/ ./bench/cmd/...
+	timeout 200 go test -run '^$$' -bench . -benchtime 200ms -count 3 ./fleet/router
+	timeout 900 .bin/cassialatch-bench $(BENCHFLAGS)
+
 model:
 	scripts/model.sh check
 
--- /dev/null
+++ b/bench/cmd/cassialatch-bench/memory.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"cassialatch.dev/bench/internal/fleetproc"
+)
+
+// memoryTokens make streams that outlast the measurement.
+const memoryTokens = 200
+
+// memoryOf measures both daemons while streams are open.
+func (b *bench) memoryOf(ctx context.Context, p *pair, streams int) error {
+	done := make(chan *latencies, 1)
+	go func() {
+		if streams == 0 {
+			done <- nil
+			return
+		}
+		done <- drive(ctx, p.fleet.HTTP, p.other.Caller, streams, memoryTokens, time.Second)
+	}()
+	time.Sleep(4 * time.Second)
+	for name, d := range map[string]*fleetproc.Daemon{"home": p.home, "entry": p.other} {
+		usage, err := d.Usage()
+		if err != nil {
+			return err
+		}
+		b.add("resident "+name, strconv.Itoa(streams)+" streams", float64(usage.Resident)/(1<<20), "MiB")
+	}
+	if l := <-done; l != nil {
+		b.add("memory failed", strconv.Itoa(streams)+" streams", float64(l.failed.Load()), "requests")
+	}
+	return nil
+}
