loadtable, member, router: summaries kept between plans

Cause: each plan joined every account of every backend server into a new map and sorted the VM list again: 2.1 MB and 2,061 allocations at 2,000 servers.

Ruled out: a copy of all candidates kept for some milliseconds. At 13 requests a second for each daemon hardly two plans would share one, and it would add staleness.

Change: the table keeps the summary of a backend server until one of its accounts is replaced or gets too old; the directory sorts each VM list once.

--- a/fleet/loadtable/loadtable.go
+++ b/fleet/loadtable/loadtable.go
@@ -29,11 +29,18 @@
 
 	mu      sync.Mutex
 	entries map[string]map[account]Entry // by backend server
+	joined  map[string]joined            // summaries that hold still
+}
+
+// joined is a summary and the time at which its oldest account is forgotten.
+type joined struct {
+	Summary
+	until time.Time
 }
 
 // New returns a Table that keeps entries for the given time.
 func New(keep time.Duration, now func() time.Time) *Table {
-	return &Table{keep: keep, now: now, entries: make(map[string]map[account]Entry)}
+	return &Table{keep: keep, now: now, entries: make(map[string]map[account]Entry), joined: make(map[string]joined)}
 }
 
 // Merge takes accounts that were heard.
@@ -62,6 +69,7 @@
 		return
 	}
 	of[by] = Entry{Load: load, At: now.Add(-age)}
+	delete(t.joined, load.Backend)
 }
 
 // Of returns all accounts of one backend server that are not too old.
@@ -118,13 +126,50 @@
 
 // Summaries returns the joined accounts by backend server.
 func (t *Table) Summaries() map[string]Summary {
-	sums := make(map[string]Summary)
-	for _, e := range t.All() {
-		sums[e.Load.Backend] = sums[e.Load.Backend].add(e)
+	now := t.now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sums := make(map[string]Summary, len(t.entries))
+	for backend := range t.entries {
+		if sum := t.summaryLocked(backend, now); sum.Known {
+			sums[backend] = sum
+		}
 	}
 	return sums
 }
 
+// View calls visit with a function that returns the summary of one backend
+// server. It is for callers that need many of them at once; visit must not use
+// the table otherwise.
+func (t *Table) View(visit func(summary func(backend string) Summary)) {
+	now := t.now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	visit(func(backend string) Summary { return t.summaryLocked(backend, now) })
+}
+
+// summaryLocked returns the joined accounts of one backend server, and keeps
+// them until one is replaced or gets too old. The caller holds t.mu.
+func (t *Table) summaryLocked(backend string, now time.Time) Summary {
+	if kept, ok := t.joined[backend]; ok && now.Before(kept.until) {
+		return kept.Summary
+	}
+	fresh := t.freshLocked(backend, now)
+	if len(fresh) == 0 {
+		delete(t.joined, backend)
+		return Summary{}
+	}
+	kept := joined{until: fresh[0].At.Add(t.keep)}
+	for _, e := range fresh {
+		kept.Summary = kept.add(e)
+		if until := e.At.Add(t.keep); until.Before(kept.until) {
+			kept.until = until
+		}
+	}
+	t.joined[backend] = kept
+	return kept.Summary
+}
+
 // add joins one account to the summary.
 func (s Summary) add(e Entry) Summary {
 	s.InFlight += int(e.Load.InFlight)
--- a/fleet/member/directory.go
+++ b/fleet/member/directory.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -53,6 +54,7 @@
 	version  uint64
 	daemons  map[string]platformapi.VM // entry VMs of the site
 	servers  map[string]platformapi.VM // backend servers of the site
+	sorted   map[string][]Server       // backend servers by service and, under "", all
 	groups   map[string][]string       // lender groups of this list, by backend server
 	peers    map[string]peerState
 	draining bool // this daemon itself
@@ -85,9 +87,24 @@
 	for _, vm := range list.VMs {
 		d.addLocked(vm)
 	}
+	d.sorted = sortServers(d.servers)
 	return true
 }
 
+// sortServers returns backend servers by service and, under "", all of them,
+// each list sorted by id.
+func sortServers(servers map[string]platformapi.VM) map[string][]Server {
+	sorted := make(map[string][]Server)
+	for _, id := range slices.Sorted(maps.Keys(servers)) {
+		server := Server{VM: servers[id]}
+		sorted[""] = append(sorted[""], server)
+		if server.Service != "" {
+			sorted[server.Service] = append(sorted[server.Service], server)
+		}
+	}
+	return sorted
+}
+
 // addLocked files one VM of the site. The caller holds d.mu.
 func (d *Directory) addLocked(vm platformapi.VM) {
 	if vm.Site != d.opts.Site {
@@ -184,18 +201,12 @@
 }
 
 // Servers returns the published backend servers of a service, or of all
-// services when it is empty, sorted by id.
+// services when it is empty, sorted by id. Callers must not change the slice,
+// which stays as it is when a newer list comes.
 func (d *Directory) Servers(service string) []Server {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	var found []Server
-	for _, vm := range d.servers {
-		if service == "" || vm.Service == service {
-			found = append(found, Server{VM: vm})
-		}
-	}
-	slices.SortFunc(found, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
-	return found
+	return d.sorted[service]
 }
 
 // Group returns the lenders of a backend server, in the order in which they
--- a/fleet/router/router.go
+++ b/fleet/router/router.go
@@ -147,29 +147,34 @@
 
 // Candidates returns what is known of a service's backend servers.
 func (r *Router) Candidates(service string) []placement.Candidate {
-	sums := r.opts.Loads.Summaries()
 	servers := r.opts.Directory.Servers(service)
-	candidates := make([]placement.Candidate, 0, len(servers))
-	for _, server := range servers {
-		sum := sums[server.ID]
-		candidate := placement.Candidate{
-			Backend:  server.ID,
-			Zone:     server.Zone,
-			Known:    sum.Known,
-			InFlight: sum.InFlight,
-			Queued:   sum.Queued,
-			Limit:    sum.Limit,
-			Weight:   1,
-			Leaving:  sum.Leaving || server.State == platformapi.StateLeaving,
+	candidates := make([]placement.Candidate, len(servers))
+	r.opts.Loads.View(func(summary func(string) loadtable.Summary) {
+		for i, server := range servers {
+			candidates[i] = candidate(server, summary(server.ID))
 		}
-		if sum.Known {
-			candidate.Weight = sum.Weight
-		}
-		candidates = append(candidates, candidate)
-	}
+	})
 	return candidates
 }
 
+// candidate joins a backend server with what is known of its load.
+func candidate(server member.Server, sum loadtable.Summary) placement.Candidate {
+	weight := 1.0
+	if sum.Known {
+		weight = sum.Weight
+	}
+	return placement.Candidate{
+		Backend:  server.ID,
+		Zone:     server.Zone,
+		Known:    sum.Known,
+		InFlight: sum.InFlight,
+		Queued:   sum.Queued,
+		Limit:    sum.Limit,
+		Weight:   weight,
+		Leaving:  sum.Leaving || server.State == platformapi.StateLeaving,
+	}
+}
+
 // Class returns the class of a start.
 func Class(start *peerpb.ForwardStart) dynamic.Class { return dynamic.Class(start.Class) }
 
