model, lease: shares used one by one, and none after a suspended VM

Cause: the code uses a share once a report made after it came has been read and keeps the least count since; the model had only the coarser rule. The model's notes name one hole more: the monotonic clock stands still while a VM is suspended. Ruled out: forgetting the whole report with each new share, which stops all admission after one late heartbeat. Change: admit.pml -DBY_SHARE with two mutants; Shares drops all when the wall clock ran ahead of the monotonic one by more than 100 ms. Before and after: BY_SHARE holds over 223,040 states (limit 3, one crash); without the reset of the bound it fails after 21,204 states, without the bound after 20,056. Conclusion: the rule of the code is the one that is checked.

--- a/fleet/lease/shares.go
+++ b/fleet/lease/shares.go
@@ -22,6 +22,29 @@
 
 	mu     sync.Mutex
 	shares map[string]map[string]share // by backend server, then lender
+	seen   time.Time                   // the latest reading of the clock
+}
+
+// maxSuspend is by how much the wall clock may run ahead of the monotonic one
+// between two readings before all shares are taken as ended. The monotonic
+// clock stands still while a VM is suspended.
+const maxSuspend = 100 * time.Millisecond
+
+// readLocked reads the clock and drops all shares if the VM was suspended since
+// the last reading. The caller holds s.mu.
+func (s *Shares) readLocked() time.Time {
+	now := s.now()
+	if !s.seen.IsZero() && suspended(s.seen, now) > maxSuspend {
+		clear(s.shares)
+	}
+	s.seen = now
+	return now
+}
+
+// suspended returns by how much the wall clock ran ahead of the monotonic one
+// between two readings.
+func suspended(from, to time.Time) time.Duration {
+	return to.Round(0).Sub(from.Round(0)) - to.Sub(from)
 }
 
 // NewShares returns an empty Shares.
@@ -44,7 +67,7 @@
 		of = make(map[string]share)
 		s.shares[backend] = of
 	}
-	now := s.now()
+	now := s.readLocked()
 	since := now
 	if held, ok := of[lender]; ok && now.Before(held.until) {
 		since = held.since // the lender lent it to nobody else meanwhile
@@ -71,7 +94,7 @@
 func (s *Shares) FractionSince(backend string, settled time.Time) Fraction {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.now()
+	now := s.readLocked()
 	f := Fraction{}
 	for _, sh := range s.shares[backend] {
 		if now.Before(sh.until) && !sh.since.After(settled) {
@@ -103,7 +126,7 @@
 func (s *Shares) Count() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.now()
+	now := s.readLocked()
 	n := 0
 	for _, of := range s.shares {
 		for _, sh := range of {
--- a/model/admit.pml
+++ b/model/admit.pml
@@ -46,8 +46,18 @@
 #define OWN(d) (running[d])
 #endif
 
+/* (*Shares).FractionSince: a share is used once a report made after it came
+ * has been read. */
+#ifdef BY_SHARE
+bool covered[LENDERS];    /* by a report of its holder */
+#define COUNTED(d, l) (owner[l] == d && covered[l] && IN_GROUP(d, l))
+#define UNCOVERED(d, l) (owner[l] == d && !covered[l])
+#define ANY_UNCOVERED(d) (UNCOVERED(d, 0) || UNCOVERED(d, 1) || UNCOVERED(d, 2))
+#define OWNS(d) (owner[0] == d || owner[1] == d || owner[2] == d)
+#else
 /* (*Holder).Granted */
 #define COUNTED(d, l) (owner[l] == d && IN_GROUP(d, l))
+#endif
 #ifdef GROUPS
 #define GRANTED(d) (COUNTED(d, 0) + COUNTED(d, 1) + COUNTED(d, 2) + COUNTED(d, 3))
 #else
@@ -82,24 +92,33 @@
 }
 
 /* (*Holder).Share: a new share makes the last report too old. */
-#ifdef MUT_OLD_REPORT
+#if defined(MUT_OLD_REPORT) || defined(BY_SHARE)
 #define REPORT_ENDS skip
 #else
 #define REPORT_ENDS foreign[d] = UNKNOWN
 #endif
+#ifdef BY_SHARE
+#define UNCOVER(l) covered[l] = false
+#else
+#define UNCOVER(l) skip
+#endif
 #define STEP_SHARE(l) \
 	:: d_step { owner[l] == NOBODY && IN_GROUP(d, l) -> \
 		printf("home %d: counts share %d\n", d, l); \
-		owner[l] = d; REPORT_ENDS } \
+		owner[l] = d; UNCOVER(l); REPORT_ENDS } \
 	:: d_step { owner[l] == d -> \
 		printf("home %d: share %d ends\n", d, l); \
-		owner[l] = NOBODY; forget_report() }
+		owner[l] = NOBODY; UNCOVER(l); forget_report() }
 
 /* The report is useless to a daemon that counts no share. */
 inline forget_report()
 {
 	if
+#ifdef BY_SHARE
+	:: !OWNS(d) -> foreign[d] = UNKNOWN
+#else
 	:: GRANTED(d) == 0 -> foreign[d] = UNKNOWN
+#endif
 	:: else -> skip
 	fi
 }
@@ -111,7 +130,7 @@
 	crashes--;
 	for (k : 0 .. LENDERS - 1) {
 		if
-		:: owner[k] == d -> owner[k] = NOBODY
+		:: owner[k] == d -> owner[k] = NOBODY; UNCOVER(k)
 		:: else -> skip
 		fi
 	}
@@ -137,9 +156,30 @@
 		printf("daemon %d: holds list %d\n", d, newer[d]) }
 #endif
 	/* (*Home).admit: a report asked for after the newest grant. */
+#ifdef BY_SHARE
+	/* (*external).note: the least count since the newest share came. */
+	:: d_step { OWNS(d) && (ANY_UNCOVERED(d) || ENGINE - running[d] < foreign[d]) ->
+		if
+#ifdef MUT_KEEP_BOUND
+		:: foreign[d] != UNKNOWN && ENGINE - running[d] >= foreign[d] -> skip
+#else
+		:: !ANY_UNCOVERED(d) && ENGINE - running[d] >= foreign[d] -> skip
+#endif
+		:: else -> foreign[d] = ENGINE - running[d]
+		fi;
+		for (k : 0 .. LENDERS - 1) {
+			if
+			:: owner[k] == d -> covered[k] = true
+			:: else -> skip
+			fi
+		}
+		k = 0;
+		printf("home %d: report, bound of others is %d\n", d, foreign[d]) }
+#else
 	:: d_step { GRANTED(d) > 0 && foreign[d] != ENGINE - running[d] ->
 		foreign[d] = ENGINE - running[d];
 		printf("home %d: report, %d of others run\n", d, foreign[d]) }
+#endif
 #ifdef GAP
 	/* A daemon has GAP requests at most between the check and the write. */
 	:: d_step { checked[d] < GAP && MAY_ADMIT(d) ->
