--- a/fleet/lease/shares.go
+++ b/fleet/lease/shares.go
@@ -68,6 +68,9 @@
 		s.shares[backend] = of
 	}
 	now := s.readLocked()
+	if suspended(claimSent, now) > maxSuspend {
+		return
+	}
 	since := now
 	if held, ok := of[lender]; ok && now.Before(held.until) {
 		since = held.since // the lender lent it to nobody else meanwhile
