node: ready when the homes that fall to it are served

Cause: after a start the shares of a new home are used only once a later load report was read, a second and a half after readiness; short work waited for it. Ruled out: the queues (no wait later in the run). Change: readiness waits, three leases' time at most, until each backend server that the daemon is home of may get work; it is latched. Conclusion: a restarted daemon is ready when it has taken its place.

--- a/fleet/home/home.go
+++ b/fleet/home/home.go
@@ -273,6 +273,18 @@
 	return count
 }
 
+// Settled reports whether each backend server that this daemon is home of may
+// get work, but for those that are leaving or do not answer.
+func (h *Home) Settled() bool {
+	for _, n := range h.all() {
+		waiting := !n.external.known() || n.open() && n.allowed() <= 0
+		if n.homed.Load() && !n.leaving.Load() && n.misses.Load() == 0 && waiting {
+			return false
+		}
+	}
+	return true
+}
+
 // runner returns the runner of a backend server; nil when there is none.
 func (h *Home) runner(id string) *runner {
 	h.mu.Lock()
--- a/fleet/lease/shares.go
+++ b/fleet/lease/shares.go
@@ -62,15 +62,15 @@
 
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.readLocked()
+	if suspended(claimSent, now) > maxSuspend {
+		return
+	}
 	of := s.shares[backend]
 	if of == nil {
 		of = make(map[string]share)
 		s.shares[backend] = of
 	}
-	now := s.readLocked()
-	if suspended(claimSent, now) > maxSuspend {
-		return
-	}
 	since := now
 	if held, ok := of[lender]; ok && now.Before(held.until) {
 		since = held.since // the lender lent it to nobody else meanwhile
--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -106,6 +106,9 @@
 	drain     chan struct{} // closed when a drain begins
 	drainOnce sync.Once
 
+	began   time.Time
+	inPlace atomic.Bool // see settled
+
 	forwarded atomic.Int64 // requests that peers have in flight here
 }
 
@@ -124,6 +127,7 @@
 			Incarnation: rand.Uint64(),
 		},
 		drain: make(chan struct{}),
+		began: opts.Now(),
 	}
 	n.log = opts.Log.With().Str("daemon", n.self.Id).Logger()
 	n.ctx, n.cancel = context.WithCancel(context.Background())
@@ -240,11 +244,32 @@
 }
 
 // Ready reports whether callers may be sent here: a configuration is in force,
-// the VM list is known, each peer was asked for newer documents, and the
-// daemon lends its shares again, so that an operator who restarts one daemon
-// after the other never takes two out of the lending at once.
+// the VM list is known, each peer was asked for newer documents, and the daemon
+// lends its shares again and serves the backend servers that it is home of. So
+// an operator who restarts one daemon after the other never takes two out at
+// once.
 func (n *Node) Ready() bool {
-	return n.adopter.Config() != nil && n.exchange.AskedAll() && n.lender.Open() && n.ctx.Err() == nil
+	informed := n.adopter.Config() != nil && n.exchange.AskedAll()
+	return informed && n.lender.Open() && n.settled() && n.ctx.Err() == nil
+}
+
+// settleLeases is how many leases' time a daemon waits at most for the shares
+// of the backend servers that it is home of; in a fleet that is cut they may
+// never come.
+const settleLeases = 3
+
+// settled reports whether the daemon has taken its place among the homes. Once
+// true it stays so.
+func (n *Node) settled() bool {
+	if n.inPlace.Load() {
+		return true
+	}
+	waited := n.now().Sub(n.began) > settleLeases*n.settings.Control.LeaseDuration
+	if !waited && !n.home.Settled() {
+		return false
+	}
+	n.inPlace.Store(true)
+	return true
 }
 
 // Execute implements forward.Executor for what peers hand to this daemon: a
