fleet/router: "not run" only when no attempt may have run

Cause: Route gave back the last failure. A chat whose first attempt had begun on an engine when the way to its home was lost, and whose next attempt found no home, was told "not run". Ruled out: the home and the backend client (their own failure said unknown). Change: once an attempt may have run, its failure stands for the whole request in place of a later "not run". Before/after: TestNotRunOfAChatIsTrue/homes_cut_off said "chat-0 ran 1 times; its caller was told {status:502 outcome:not-run code:peer_failed ...}"; passes now. Conclusion: callers are no longer told that such a request did not run.

--- a/fleet/router/router.go
+++ b/fleet/router/router.go
@@ -71,9 +71,9 @@
 		if err == nil {
 			return nil
 		}
-		last = err
+		last = attempt.noteFailure(err)
 		if !attempt.again(ctx, err) {
-			return err
+			return last
 		}
 		attempt.excluded[choice.Backend] = true
 	}
@@ -89,6 +89,20 @@
 	req      Request
 	sink     *startedSink
 	excluded map[string]bool
+	unclear  error // the first failure after which the request may have run
+}
+
+// noteFailure returns what a failed attempt says about the whole request: when
+// an earlier one may have run, "not run" holds for the last one only.
+func (a *attempt) noteFailure(err error) error {
+	e := outcome.From(err)
+	if e.Outcome == outcome.NotRun && a.unclear != nil {
+		return a.unclear
+	}
+	if e.Outcome == outcome.Unknown && a.unclear == nil {
+		a.unclear = err
+	}
+	return err
 }
 
 // plan returns the best backend server that has not refused.
