fleet/backend: an end mark counts only at the start of a line

Cause: a line of a stream that is longer than the buffer comes in parts, and each part was read as a line. A tail "data: [DONE]" made a cut stream count as whole. Change: only the first part of a line is looked at. Before/after: TestAnswerOfABackendServerIsWholeOrAnError said "internal != answer_truncated" (no error) for "end mark within a long line"; passes now.

--- a/fleet/backend/relay.go
+++ b/fleet/backend/relay.go
@@ -78,11 +78,15 @@
 	in := bufio.NewReaderSize(body, responseBufferLen)
 	pending := make([]byte, 0, responseBufferLen)
 	done := false
+	begins := true // a line begins; one longer than the buffer comes in parts
 	for {
 		line, err := in.ReadSlice('\n')
 		pending = append(pending, line...)
-		done = done || isDone(line)
-		out.result.noteEvent(line)
+		if begins {
+			done = done || isDone(line)
+			out.result.noteEvent(line)
+		}
+		begins = !errors.Is(err, bufio.ErrBufferFull)
 		if len(pending) > 0 && (err != nil || in.Buffered() == 0 || len(pending) >= responseBufferLen) {
 			if _, werr := out.Write(pending); werr != nil {
 				return cutFailure(ctx, out, werr)
