standin/caller: the error event of a cut stream is read as such

Cause: the caller took the data of "event: error" for an event of the answer and reported "answer crossed: event 0 where 10 was due" for streams that the daemon had cut as it should. Ruled out: a crossed answer in the fleet: the forward's nonce, sequence and length held, and all reports had event 0. Change: data after the error event is no part of the answer. The answer is still an error: cut when the connection breaks, truncated when it ends clean.

--- a/standin/caller/stream.go
+++ b/standin/caller/stream.go
@@ -15,7 +15,11 @@
 	"github.com/cockroachdb/errors"
 )
 
-const eventPrefix = "data: "
+// Lines of a stream.
+const (
+	eventPrefix = "data: "
+	errorEvent  = "event: error" // the daemon cut the answer; its data names the failure
+)
 
 // reader collects a streamed answer.
 type reader struct {
@@ -25,6 +29,7 @@
 	last    time.Time // of the last event; zero: none yet
 	seq     int       // of the next event
 	done    bool      // the end mark has come
+	failed  bool      // an error event has come
 }
 
 // readChat reads a streamed answer to its end and verifies that it is whole
@@ -51,8 +56,10 @@
 		if err != nil {
 			return &LostError{Loss: LossCut, Detail: fmt.Sprintf("after %d events", r.seq), cause: err}
 		}
-		data, ok := strings.CutPrefix(strings.TrimRight(line, "\r\n"), eventPrefix)
-		if !ok {
+		line = strings.TrimRight(line, "\r\n")
+		r.failed = r.failed || line == errorEvent
+		data, ok := strings.CutPrefix(line, eventPrefix)
+		if !ok || r.failed {
 			continue
 		}
 		if err := r.take(data); err != nil {
@@ -104,6 +111,8 @@
 func (r *reader) verify(trailer http.Header, req engineapi.ChatRequest) error {
 	want := strings.Join(engine.Expect(req), " ")
 	switch {
+	case r.failed:
+		return &LostError{Loss: LossTruncated, Detail: "a clean end after an error event"}
 	case !strings.HasPrefix(want, r.answer.Content):
 		return &LostError{Loss: LossCrossed, Detail: "the words are not those of this request"}
 	case len(r.answer.Content) < len(want):
