tests/invariant: whole answers to their own requests

A scripted drpc peer sends crossed, doubled, reordered, missing and miscounted parts; a scripted backend server sends streams without an end mark, cut bodies and the answer to another request; streams of a whole fleet are cut after their first event; many chats are verified by their callers, with and without a storm of failures.

--- /dev/null
+++ b/tests/invariant/whole_answer_test.go
@@ -0,0 +1,275 @@
+package invariant
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"cassialatch.dev/fleet/backend"
+	"cassialatch.dev/fleet/forward"
+	"cassialatch.dev/fleet/peer"
+	"cassialatch.dev/outcome"
+	"cassialatch.dev/standin/caller"
+	"cassialatch.dev/tests/harness"
+	"cassialatch.dev/wire/engineapi"
+	"cassialatch.dev/wire/peerpb"
+)
+
+// scriptedPeer answers each forward with the same parts.
+type scriptedPeer struct {
+	peerpb.DRPCPeerUnimplementedServer
+	parts []*peerpb.ForwardResponse // a nonce of zero stands for the request's own
+}
+
+// Forward implements the drpc service.
+func (s *scriptedPeer) Forward(stream peerpb.DRPCPeer_ForwardStream) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	for _, part := range s.parts {
+		if part.Nonce == 0 {
+			part.Nonce = first.GetStart().Nonce
+		}
+		if err := stream.Send(part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serve serves the peer until the test ends and returns its address.
+func (s *scriptedPeer) serve(t *testing.T) string {
+	t.Helper()
+	mux := drpcmux.New()
+	if err := peerpb.DRPCRegisterPeer(mux, s); err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = drpcserver.New(mux).Serve(ctx, listener)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	return listener.Addr().String()
+}
+
+// Parts of an answer.
+func headPart(seq uint32) *peerpb.ForwardResponse {
+	return &peerpb.ForwardResponse{Seq: seq, Part: &peerpb.ForwardResponse_Head{Head: &peerpb.ResponseHead{Status: 200}}}
+}
+
+func dataPart(seq uint32, text string) *peerpb.ForwardResponse {
+	return &peerpb.ForwardResponse{Seq: seq, Part: &peerpb.ForwardResponse_Data{Data: []byte(text)}}
+}
+
+func endPart(seq uint32, bytes uint64) *peerpb.ForwardResponse {
+	return &peerpb.ForwardResponse{Seq: seq, Part: &peerpb.ForwardResponse_End{End: &peerpb.ResponseEnd{Bytes: bytes}}}
+}
+
+// crossed gives a part the nonce of another request.
+func crossed(part *peerpb.ForwardResponse) *peerpb.ForwardResponse {
+	part.Nonce = 1
+	return part
+}
+
+// collected is a sink that keeps what it gets.
+type collected struct {
+	data  strings.Builder
+	ended bool
+}
+
+func (c *collected) Head(forward.Head) error { return nil }
+func (c *collected) Data(p []byte) error     { c.data.Write(p); return nil }
+func (c *collected) End(forward.End) error   { c.ended = true; return nil }
+
+func TestForwardTakesOnlyItsOwnPartsWholeAndInOrder(t *testing.T) {
+	type parts = []*peerpb.ForwardResponse
+	cases := []struct {
+		name  string
+		parts parts
+		want  outcome.Code // empty: whole
+	}{
+		{"whole", parts{headPart(0), dataPart(1, "ab"), dataPart(2, "cd"), endPart(3, 4)}, ""},
+		{"part of another request", parts{headPart(0), crossed(dataPart(1, "ab")), endPart(2, 2)}, outcome.CodeCrossed},
+		{"part twice", parts{headPart(0), dataPart(1, "ab"), dataPart(1, "ab"), endPart(2, 4)}, outcome.CodeCrossed},
+		{"parts in another order", parts{headPart(0), dataPart(2, "cd"), dataPart(1, "ab"), endPart(3, 4)}, outcome.CodeCrossed},
+		{"part missing", parts{headPart(0), dataPart(1, "ab"), endPart(3, 4)}, outcome.CodeCrossed},
+		{"two heads", parts{headPart(0), headPart(1), endPart(2, 0)}, outcome.CodeCrossed},
+		{"data before the head", parts{dataPart(0, "ab"), headPart(1), endPart(2, 2)}, outcome.CodeCrossed},
+		{"part of no kind", parts{headPart(0), {Seq: 1}, endPart(2, 0)}, outcome.CodeCrossed},
+		{"end without a head", parts{endPart(0, 0)}, outcome.CodeTruncated},
+		{"wrong length", parts{headPart(0), dataPart(1, "ab"), endPart(2, 3)}, outcome.CodeTruncated},
+		{"no end", parts{headPart(0), dataPart(1, "ab")}, outcome.CodeTruncated},
+		{"nothing", nil, outcome.CodeTruncated},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			client := peer.NewClient(&peer.Dialer{})
+			defer client.Close()
+			sink := &collected{}
+			err := client.To((&scriptedPeer{parts: c.parts}).serve(t)).Execute(context.Background(), &peerpb.ForwardStart{}, nil, sink)
+			is.Equal(sink.ended, c.want == "")
+			if c.want == "" {
+				is.NoErr(err)
+				is.Equal(sink.data.String(), "abcd")
+				return
+			}
+			is.Equal(outcome.From(err).Code, c.want)
+			is.Equal(outcome.From(err).Outcome, outcome.Unknown)
+		})
+	}
+}
+
+func TestAnswerOfABackendServerIsWholeOrAnError(t *testing.T) {
+	const ok, stream = "HTTP/1.1 200 OK\r\nConnection: close\r\n", "Content-Type: text/event-stream\r\n"
+	filler := "data: " + strings.Repeat("x", 16<<10-len("data: "))
+	cases := []struct {
+		name, answer string
+		want         outcome.Code // empty: whole
+	}{
+		{"stream", ok + stream + "\r\ndata: {}\n\ndata: [DONE]\n\n", ""},
+		{"stream without its end mark", ok + stream + "\r\ndata: {}\n\n", outcome.CodeTruncated},
+		{"stream cut in a chunk", ok + stream + "Transfer-Encoding: chunked\r\n\r\n20\r\ndata: [DONE]\n\n", outcome.CodeTruncated},
+		{"end mark within a long line", ok + stream + "\r\n" + filler + "data: [DONE]\n\n", outcome.CodeTruncated},
+		{"body", ok + "Content-Length: 2\r\n\r\n{}", ""},
+		{"short body", ok + "Content-Length: 3\r\n\r\n{}", outcome.CodeTruncated},
+		{"own request id", ok + "X-Request-Id: mine\r\nContent-Length: 0\r\n\r\n", ""},
+		{"id of another request", ok + "X-Request-Id: other\r\nContent-Length: 0\r\n\r\n", outcome.CodeCrossed},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			server := newRawServer(t, func(conn net.Conn, in *bufio.Reader) {
+				if _, err := http.ReadRequest(in); err == nil {
+					fmt.Fprint(conn, c.answer)
+				}
+			})
+			client := backend.NewClient()
+			defer client.Close()
+			_, err := client.Do(context.Background(), backend.Call{
+				Address: server.Addr().String(), Method: "GET", Path: "/", RequestID: "mine", Idempotent: true,
+			}, blind{})
+			if c.want == "" {
+				is.NoErr(err)
+				return
+			}
+			is.Equal(outcome.From(err).Code, c.want)
+			is.Equal(outcome.From(err).Outcome, outcome.Unknown)
+		})
+	}
+}
+
+func TestCutStreamNeverEndsClean(t *testing.T) {
+	f := harness.Start(t, harness.Options{Daemons: 3, Engines: 2})
+	entry, homes := f.Daemons[2:], f.Daemons[:2]
+	cases := []struct {
+		name string
+		cut  func()
+	}{
+		{"home is lost", func() { f.Network.Cut(entry, homes) }},
+		{"engine crashes", func() {
+			for _, e := range f.Engines {
+				e.Crash()
+			}
+		}},
+		{"engine closes its connections", func() {
+			for _, e := range f.Engines {
+				e.Server.CloseClientConnections()
+			}
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			defer f.Network.Heal(entry, homes)
+			cutStream(t, f, c.cut)
+		})
+		f.Eventually("daemons hear each other", func() bool { return linked(f.Daemons) })
+	}
+}
+
+// cutStream cuts an answer after its first event and reads on.
+func cutStream(t *testing.T, f *harness.Fleet, cut func()) {
+	is := is.New(t)
+	r := chat(t.Name())
+	req, err := http.NewRequest(r.method, "http://"+f.Daemons[2].Settings.Listen.Caller+r.path, strings.NewReader(r.body))
+	is.NoErr(err)
+	req.Header.Set(outcome.HeaderWorkspace, harness.Workspace)
+	slowEngines(f, 2000)
+	defer slowEngines(f, 1)
+	resp, err := once.Do(req)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	in := bufio.NewReader(resp.Body)
+	first, err := in.ReadString('\n')
+	is.NoErr(err)
+	is.True(strings.HasPrefix(first, "data: {"))
+	cut()
+	rest, err := io.ReadAll(in)
+	is.True(err != nil)                                            // never a clean end
+	is.True(!strings.Contains(string(rest), engineapi.StreamDone)) // nor an end mark
+	is.True(strings.Contains(string(rest), "event: error\ndata: {\"error\":"))
+	is.True(strings.Contains(string(rest), `"outcome":"unknown"`))
+}
+
+func TestAnswersOfManyChatsAreTheirOwn(t *testing.T) {
+	const callers, turns = 16, 10
+	f := harness.Start(t, harness.Options{Daemons: 3, Engines: 3})
+	for _, storm := range []bool{false, true} {
+		t.Run(fmt.Sprintf("storm %t", storm), func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(context.Background(), harness.WaitLimit)
+			var failures, wg sync.WaitGroup
+			stormy, calm := context.WithCancel(ctx)
+			if storm {
+				failures.Go(func() { provoke(stormy, f) })
+			}
+			for c := range callers {
+				client := f.Caller(uint64(c))
+				wg.Go(func() { converse(ctx, t, client, fmt.Sprintf("chat %d %t", c, storm), turns, storm) })
+			}
+			wg.Wait()
+			calm()
+			failures.Wait()
+			cancel()
+		})
+	}
+}
+
+// converse has a chat of some turns. The caller verifies each answer; under
+// failures it may be cut, but never be another's or end early as if whole.
+func converse(ctx context.Context, t *testing.T, client *caller.Client, name string, turns int, storm bool) {
+	req := engineapi.ChatRequest{Model: harness.Model, MaxTokens: 24}
+	token := ""
+	for i := range turns {
+		req.Messages = append(req.Messages, engineapi.Message{Role: "user", Content: fmt.Sprintf("%s question %d", name, i)})
+		answer, err := client.Chat(ctx, caller.ChatCall{Request: req, RequestID: fmt.Sprintf("%s-%d", name, i), Token: token})
+		var lost *caller.LostError
+		if err != nil && (!storm || errors.As(err, &lost) && lost.Loss != caller.LossCut) {
+			t.Errorf("%s, turn %d: %v", name, i, err)
+		}
+		if err != nil {
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		token = answer.Token
+		req.Messages = append(req.Messages, engineapi.Message{Role: "assistant", Content: answer.Content})
+	}
+}
