peer: give up waiting for the answer of a peer that is taken as dead

Cause: a stopped process keeps its connections open, so a forward to a paused home or executor waited for the whole deadline of its request; a ticket's waited as long as its caller. Ruled out: a shorter deadline, which would end long queues and long first tokens as well. Change: peer.Client watches the directory while no part of an answer has come and ends the forward with unknown, or not run if the request was not sent whole. An answer that has begun is left alone.

--- a/fleet/member/directory.go
+++ b/fleet/member/directory.go
@@ -163,6 +163,19 @@
 	}
 }
 
+// Lost reports whether the published daemon with a peer address is not heard.
+// An address that is not published may belong to a daemon of an older list.
+func (d *Directory) Lost(peerAddress string) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	for _, vm := range d.daemons {
+		if vm.Peer == peerAddress {
+			return !d.daemonLocked(vm).Alive
+		}
+	}
+	return false
+}
+
 // Daemons returns all published daemons of the site, sorted by id.
 func (d *Directory) Daemons() []Daemon {
 	d.mu.RLock()
--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -184,7 +184,7 @@
 // openPaths creates the parts through which requests go.
 func (n *Node) openPaths() error {
 	n.client = backend.NewClient()
-	n.peers = peer.NewClient(&peer.Dialer{TLS: n.security.peerClient, DialFunc: n.opts.DialPeer})
+	n.peers = peer.NewClient(&peer.Dialer{TLS: n.security.peerClient, DialFunc: n.opts.DialPeer}, n.directory.Lost)
 	n.control = peer.NewControl(&peer.Dialer{TLS: n.security.peerClient, Wrap: n.countPeer, DialFunc: n.opts.DialPeer})
 	holder := lease.Holder{ID: n.self.Id, Incarnation: n.self.Incarnation}
 	n.home = home.New(n.ctx, home.Options{
--- a/fleet/peer/client.go
+++ b/fleet/peer/client.go
@@ -79,16 +79,21 @@
 // Client calls peers over pooled connections. It is safe for concurrent use.
 type Client struct {
 	dialer *Dialer
+	lost   LostFunc
 	pool   *drpcpool.Pool[string, drpcpool.Conn]
 }
 
-// NewClient returns a Client.
-func NewClient(dialer *Dialer) *Client {
+// LostFunc reports whether the peer with an address is taken as dead.
+type LostFunc func(address string) bool
+
+// NewClient returns a Client that gives up waiting for the answer of a peer
+// that is lost.
+func NewClient(dialer *Dialer, lost LostFunc) *Client {
 	pool := drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 		Expiration:  idleExpiration,
 		KeyCapacity: connsPerPeer,
 	})
-	return &Client{dialer: dialer, pool: pool}
+	return &Client{dialer: dialer, lost: lost, pool: pool}
 }
 
 // Close closes idle connections.
--- a/fleet/peer/forward.go
+++ b/fleet/peer/forward.go
@@ -30,8 +30,10 @@
 // Execute implements forward.Executor. The peer runs nothing before it has the
 // whole body, so a failure before the last body chunk was sent is "not run".
 func (r *remote) Execute(ctx context.Context, start *peerpb.ForwardStart, body []byte, sink forward.Sink) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	answers := r.client.watch(ctx, r.address, cancel)
+	defer answers()
 
 	start.Nonce = rand.Uint64()
 	stream, err := r.client.peer(ctx, r.address).Forward(ctx)
@@ -47,7 +49,7 @@
 	if err := stream.Send(last); err != nil {
 		return lost(ctx, err)
 	}
-	receiver := &receiver{nonce: start.Nonce, sink: sink}
+	receiver := &receiver{nonce: start.Nonce, sink: sink, answers: answers}
 	return receiver.run(ctx, stream)
 }
 
@@ -65,7 +67,7 @@
 
 // notSent types a failure before the peer can have run the request.
 func notSent(ctx context.Context, err error) *outcome.Error {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil && !isLost(ctx) {
 		return outcome.NewNotRun(endCode(ctx), "request ended before it was sent").WithCause(err)
 	}
 	return outcome.NewNotRun(outcome.CodePeerFailed, "home was not reached").WithCause(err).WithReplan()
@@ -73,7 +75,7 @@
 
 // lost types a failure after which the peer may have run the request.
 func lost(ctx context.Context, err error) *outcome.Error {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil && !isLost(ctx) {
 		return outcome.NewUnknown(endCode(ctx), "request ended while it ran").WithCause(err)
 	}
 	return outcome.NewUnknown(outcome.CodePeerFailed, "connection to the home was lost").WithCause(err).WithReplan()
@@ -92,6 +94,7 @@
 type receiver struct {
 	nonce   uint64
 	sink    forward.Sink
+	answers func() // called at the first part
 	seq     uint32
 	bytes   uint64
 	started bool
@@ -110,6 +113,7 @@
 			return outcome.NewUnknown(outcome.CodeCrossed, "part of another answer came from the home")
 		}
 		r.seq++
+		r.answers()
 		done, err := r.take(resp)
 		if done || err != nil {
 			return err
