router: the first loss of a home is free of the retry budget

Cause: a daemon that dies or pauses takes all requests of its queues with it at once; the retry budget of a tenth allowed few of them, the others ended unknown though they are idempotent. Change: each idempotent request of which nothing was passed on is placed anew once after a lost home without budget. That is bounded by one repeat a request.

--- a/fleet/router/router.go
+++ b/fleet/router/router.go
@@ -89,6 +89,7 @@
 	req      Request
 	sink     *startedSink
 	excluded map[string]bool
+	lostHome bool // a home was lost with this request
 }
 
 // plan returns the best backend server that has not refused.
@@ -116,6 +117,8 @@
 // again reports whether the request may be tried on another backend server: a
 // request that has not run always, one that may have run only when it is
 // idempotent, nothing of its answer has been passed on and the budget allows.
+// The first loss of a home is free of the budget: a daemon that dies takes many
+// requests with it at once, each of which is repeated once at most.
 func (a *attempt) again(ctx context.Context, err error) bool {
 	e := outcome.From(err)
 	if !e.Replan || ctx.Err() != nil || a.sink.started {
@@ -124,7 +127,14 @@
 	if e.Outcome == outcome.NotRun {
 		return true
 	}
-	return a.req.Start.Idempotent && a.router.opts.Retries.Allow()
+	if !a.req.Start.Idempotent {
+		return false
+	}
+	if e.Code == outcome.CodePeerFailed && !a.lostHome {
+		a.lostHome = true
+		return true
+	}
+	return a.router.opts.Retries.Allow()
 }
 
 // homeOf returns the Executor of a backend server's home.
