--- a/tests/process/fleet_test.go
+++ b/tests/process/fleet_test.go
@@ -8,9 +8,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
-	"time"
 
-	"cassialatch.dev/standin/caller"
 	"cassialatch.dev/standin/engine"
 	"cassialatch.dev/standin/plainservice"
 	"cassialatch.dev/standin/platform"
@@ -129,13 +127,6 @@
 	}
 }
 
-// client returns a caller that knows all daemons.
-func (f *fleet) client(seed uint64) *caller.Client {
-	h := caller.NewHTTP()
-	f.t.Cleanup(h.CloseIdleConnections)
-	return caller.New(h, harness.Workspace, f.entries(f.daemons...), rand.New(rand.NewPCG(seed, seed)))
-}
-
 // entries returns the addresses for callers of some daemons.
 func (f *fleet) entries(daemons ...*daemon) []string {
 	var entries []string
@@ -205,9 +196,7 @@
 	return path
 }
 
-// entryTTL is how long callers keep an entry answer.
-const entryTTL = 500 * time.Millisecond
-
+// settingsText is the settings file of a daemon.
 const settingsText = `
 id = %q
 site = %q
--- a/tests/process/stop_test.go
+++ b/tests/process/stop_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -30,28 +32,56 @@
 	}
 }
 
+// longTokens make an answer that outlasts the wait for old entry answers.
+const longTokens = 300
+
 // load is a scenario under way.
 type load struct {
-	stop chan struct{}
-	done chan scenario.Summary
+	stop    chan struct{}
+	done    chan scenario.Summary
+	once    sync.Once
+	summary scenario.Summary
+
+	mu     sync.Mutex
+	errors []error
+}
+
+// failed notes a request that was not answered whole.
+func (l *load) failed(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.errors = append(l.errors, err)
+}
+
+// failures returns why requests were not answered whole.
+func (l *load) failures() []error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.errors)
 }
 
 // startLoad puts a scenario on a fleet until end is called.
-func (f *fleet) startLoad(s scenario.Scenario) *load {
+func (f *fleet) startLoad(s scenario.Scenario) *load { return f.startLoadAt(f.daemons, s) }
+
+// startLoadAt puts a scenario on a fleet by callers that know some daemons.
+func (f *fleet) startLoadAt(entries []*daemon, s scenario.Scenario) *load {
 	l := &load{stop: make(chan struct{}), done: make(chan scenario.Summary, 1)}
-	failure := func(err error) { f.t.Logf("request failed: %v", err) }
 	go func() {
 		l.done <- scenario.Run(context.Background(), s, scenario.Options{
-			Entries: f.entries(f.daemons...), Run: "r", Failure: failure, Stop: l.stop,
+			Entries: f.entries(entries...), Run: "r", Failure: l.failed, Stop: l.stop,
 		})
 	}()
+	f.t.Cleanup(func() { l.end() })
 	return l
 }
 
 // end lets no request start any more and waits for those in flight.
 func (l *load) end() scenario.Summary {
-	close(l.stop)
-	return <-l.done
+	l.once.Do(func() {
+		close(l.stop)
+		l.summary = <-l.done
+	})
+	return l.summary
 }
 
 func TestRollingRestartCutsNoRequest(t *testing.T) {
@@ -62,14 +92,18 @@
 		daemons: 9, engines: 6, services: 4, engine: config,
 		service: plainservice.Config{Delay: 50 * time.Millisecond},
 	})
-	l := f.startLoad(steady())
+	s := steady()
+	long := s.Chats[0]
+	long.Users, long.MaxTokens = 4, longTokens
+	s.Chats = append(s.Chats, long)
+	l := f.startLoad(s)
 	for _, d := range f.daemons {
 		d.terminate()
 		d.start()
 		harness.Eventually(t, d.id+" is ready again", d.ready)
 	}
 	sum := l.end()
-	t.Logf("%+v", sum)
+	t.Logf("%+v, failures: %v", sum, l.failures())
 	is.True(sum.Sent > 0)
 	is.Equal(sum.Lost, 0)
 	is.Equal(sum.Duplicates, 0)
