--- a/standin/caller/stream.go
+++ b/standin/caller/stream.go
@@ -59,7 +59,7 @@
 		line = strings.TrimRight(line, "\r\n")
 		r.failed = r.failed || line == errorEvent
 		data, ok := strings.CutPrefix(line, eventPrefix)
-		if !ok || r.failed {
+		if !ok {
 			continue
 		}
 		if err := r.take(data); err != nil {
@@ -70,6 +70,9 @@
 
 // take accounts for the data of one event.
 func (r *reader) take(data string) error {
+	if r.failed {
+		return &LostError{Loss: LossCut, Detail: fmt.Sprintf("after %d events: %s", r.seq, data)}
+	}
 	if r.done {
 		return &LostError{Loss: LossCrossed, Detail: "data after the end mark"}
 	}
--- a/tests/invariant/not_run_test.go
+++ b/tests/invariant/not_run_test.go
@@ -101,7 +101,7 @@
 				if c.serve == nil {
 					server.Close()
 				}
-				client := backend.NewClient()
+				client := backend.NewClient(nil)
 				defer client.Close()
 				_, err := client.Do(context.Background(), backend.Call{
 					Address: server.Addr().String(), Method: "POST", Path: "/bookings",
@@ -159,7 +159,7 @@
 			}
 			is.Equal(copies.Swap(0), c.pooled)
 
-			client := backend.NewClient()
+			client := backend.NewClient(nil)
 			defer client.Close()
 			for _, path := range []string{"/warm", "/probe"} {
 				_, _ = client.Do(context.Background(), backend.Call{
--- a/tests/invariant/whole_answer_test.go
+++ b/tests/invariant/whole_answer_test.go
@@ -123,7 +123,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			client := peer.NewClient(&peer.Dialer{})
+			client := peer.NewClient(&peer.Dialer{}, func(string) bool { return false })
 			defer client.Close()
 			sink := &collected{}
 			err := client.To((&scriptedPeer{parts: c.parts}).serve(t)).Execute(context.Background(), &peerpb.ForwardStart{}, nil, sink)
@@ -163,7 +163,7 @@
 					fmt.Fprint(conn, c.answer)
 				}
 			})
-			client := backend.NewClient()
+			client := backend.NewClient(nil)
 			defer client.Close()
 			_, err := client.Do(context.Background(), backend.Call{
 				Address: server.Addr().String(), Method: "GET", Path: "/", RequestID: "mine", Idempotent: true,
