fleet: counterexamples of the model replayed by Go tests

Cause: adopt, heartbeat, home and order had no tests of their own, and lease, member and loadtable few.

Not replayed: tickets (package ticketbook has tests of them) and the gap between check and write (-DGAP).

--- a/fleet/loadtable/loadtable_test.go
+++ b/fleet/loadtable/loadtable_test.go
@@ -58,3 +58,35 @@
 	is.Equal(summary(table).Known, false)
 	is.Equal(len(table.Summaries()), 0)
 }
+
+// TestLateAccountsChangeNothing replays heartbeats that arrive late, twice or
+// after a restart of their home.
+func TestLateAccountsChangeNothing(t *testing.T) {
+	of := func(incarnation, seq uint64, inFlight, ageMs uint32) *peerpb.BackendLoad {
+		l := load("a", seq, inFlight)
+		l.Incarnation, l.AgeMs = incarnation, ageMs
+		return l
+	}
+	for _, tc := range []struct {
+		name     string
+		heard    []*peerpb.BackendLoad
+		inFlight int
+	}{
+		{"the same again", []*peerpb.BackendLoad{of(1, 5, 3, 0), of(1, 5, 3, 0)}, 3},
+		{"an older one", []*peerpb.BackendLoad{of(1, 5, 3, 0), of(1, 4, 9, 0)}, 3},
+		{"an older one that looks fresh", []*peerpb.BackendLoad{of(1, 5, 3, 1000), of(1, 4, 9, 0)}, 3},
+		{"work of the former incarnation still runs", []*peerpb.BackendLoad{of(1, 5, 3, 0), of(2, 1, 2, 0)}, 5},
+		{"a late one of the former incarnation", []*peerpb.BackendLoad{of(2, 1, 2, 0), of(1, 5, 3, 0), of(1, 4, 9, 0)}, 5},
+		{"one that is too old", []*peerpb.BackendLoad{of(1, 5, 3, 0), of(1, 6, 9, uint32(keep.Milliseconds())+1)}, 3},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			c := &clock{at: time.Unix(1000, 0)}
+			table := loadtable.New(keep, c.now)
+			for _, l := range tc.heard {
+				table.Merge([]*peerpb.BackendLoad{l})
+			}
+			is.Equal(summary(table).InFlight, tc.inFlight)
+		})
+	}
+}
