home: a new process at the address of one that left gets work

Cause: a runner noted that its server was leaving and never took it back; an engine that left and came back at its address, as another process, got no work until its home changed. Change: the server's own word holds for the process instance that gave it, the VM list's for as long as the list says so. Test by processes: a leaving engine, told by its report while the platform is down and told by the VM list, gets no request after all daemons know, cuts nothing of what it has, and its successor gets work. Before: the successor got none within 60 s.

--- a/fleet/home/home.go
+++ b/fleet/home/home.go
@@ -111,9 +111,7 @@
 		h.runners[vm.ID] = n
 	}
 	n.queue.SetLimit(r.maxInFlight)
-	if vm.State == platformapi.StateLeaving {
-		n.setLeaving(true)
-	}
+	n.setListed(vm.State == platformapi.StateLeaving)
 	switch {
 	case mine && !n.homed.Load():
 		h.takeOverLocked(n)
@@ -316,7 +314,7 @@
 			Queued:         uint32(counts.Queued),
 			Limit:          uint32(max(0, n.allowed())),
 			WeightPermille: uint32(fullWeight * h.opts.Stragglers.Weight(n.vm.ID)),
-			Leaving:        n.leaving.Load(),
+			Leaving:        n.leaving(),
 		})
 	}
 	return loads
--- a/fleet/home/runner.go
+++ b/fleet/home/runner.go
@@ -65,11 +65,12 @@
 	queue   *admission.Queue
 	history *history
 
-	limit    atomic.Int64 // of the whole fleet's work on the server
-	external atomic.Int64 // work on the server that others admitted
-	homed    atomic.Bool  // this daemon takes itself for the home
-	leaving  atomic.Bool
-	reported atomic.Bool // a report, or the lack of any, is known
+	limit    atomic.Int64           // of the whole fleet's work on the server
+	external atomic.Int64           // work on the server that others admitted
+	homed    atomic.Bool            // this daemon takes itself for the home
+	listed   atomic.Bool            // the VM list says that it is leaving
+	left     atomic.Pointer[string] // process instance that said that it is leaving
+	reported atomic.Bool            // a report, or the lack of any, is known
 	misses   atomic.Int64
 	instance atomic.Pointer[string]
 
@@ -103,7 +104,7 @@
 
 // open reports whether the backend server may get work at all.
 func (n *runner) open() bool {
-	return n.homed.Load() && !n.leaving.Load() && n.reported.Load() && n.misses.Load() < maxMisses
+	return n.homed.Load() && !n.leaving() && n.reported.Load() && n.misses.Load() < maxMisses
 }
 
 // closedError tells why the backend server gets no work from this home.
@@ -111,7 +112,7 @@
 	switch {
 	case !n.homed.Load():
 		return outcome.NewNotRun(outcome.CodeNotHome, "this daemon is not the home").WithReplan()
-	case n.leaving.Load():
+	case n.leaving():
 		return outcome.NewNotRun(outcome.CodeLeaving, "backend server is leaving").WithReplan()
 	default:
 		return outcome.NewNotRun(outcome.CodeNoBackend, "backend server does not answer").WithReplan()
@@ -160,18 +161,34 @@
 func (n *runner) apply(report engineapi.LoadReport) {
 	n.misses.Store(0)
 	n.instance.Store(&report.Instance)
-	n.setLeaving(report.Leaving)
+	n.noteLeaving(report)
 	age := time.Duration(report.AgeMs) * time.Millisecond
 	own := n.history.peakSince(age + reportInterval)
 	n.external.Store(int64(max(0, report.Running+report.Waiting-own, n.home.othersInFlight(n.vm.ID))))
 	n.reported.Store(true)
 }
 
-// setLeaving notes whether the server is leaving; a server that said so once
-// stays so until its process instance changes.
-func (n *runner) setLeaving(leaving bool) {
-	if !leaving || n.leaving.Swap(true) {
-		return
+// leaving reports whether the server is leaving by the VM list or by its own
+// word.
+func (n *runner) leaving() bool { return n.listed.Load() || n.left.Load() != nil }
+
+// noteLeaving takes the server's own word. A process that said once that it is
+// leaving stays so; another one at its address has its own say.
+func (n *runner) noteLeaving(report engineapi.LoadReport) {
+	left := n.left.Load()
+	switch {
+	case report.Leaving && left == nil:
+		n.left.Store(&report.Instance)
+		n.queue.Flush(n.closedError())
+	case !report.Leaving && left != nil && *left != report.Instance:
+		n.left.Store(nil)
+	}
+}
+
+// setListed notes whether the VM list says that the server is leaving.
+func (n *runner) setListed(leaving bool) {
+	if leaving && !n.listed.Swap(leaving) {
+		n.queue.Flush(n.closedError())
 	}
-	n.queue.Flush(n.closedError())
+	n.listed.Store(leaving)
 }
