home, router, heartbeat: a request that crashes engines crashes fewer

Cause: a request was placed anew after each crash, up to four times, faster than the news of its first crash went with the heartbeats. Ruled out: no second placement at all, which would end the requests that happened to run beside it. Adding up what homes count, which would refuse innocent neighbours of two crashes. Change: a home that sees a crash wakes the heartbeats; a request is placed anew once at most after a failed backend server, a known suspect never. Test by processes: a caller sends the same chat again through other daemons, alone and four at once, beside 30 users; at most three crashes for each copy in flight at once, then refused as quarantined everywhere; no other request is.

--- a/fleet/heartbeat/handler.go
+++ b/fleet/heartbeat/handler.go
@@ -55,11 +55,12 @@
 	opts  Options
 	list  listCache
 	asked askedPeers
+	wake  wakeup
 }
 
 // New returns an Exchange.
 func New(opts Options) *Exchange {
-	return &Exchange{opts: opts, asked: newAskedPeers()}
+	return &Exchange{opts: opts, asked: newAskedPeers(), wake: newWakeup()}
 }
 
 // Heartbeat answers a peer's heartbeat.
--- a/fleet/heartbeat/sender.go
+++ b/fleet/heartbeat/sender.go
@@ -110,15 +110,23 @@
 	var peerID string
 	for ctx.Err() == nil {
 		seq++
+		woken := x.wake.next()
 		id, err := x.beat(ctx, address, peerID, seq)
 		if err == nil {
 			peerID = id
 		}
 		x.asked.note(address)
-		sleep(ctx, x.opts.Interval*3/4+rand.N(x.opts.Interval/2))
+		select {
+		case <-ctx.Done():
+		case <-woken:
+		case <-time.After(x.opts.Interval*3/4 + rand.N(x.opts.Interval/2)):
+		}
 	}
 }
 
+// Wake sends a heartbeat to each peer at once, for news that must not wait.
+func (x *Exchange) Wake() { x.wake.fire() }
+
 // beat sends one heartbeat and returns the peer's id. Claims go only to a peer
 // whose id is known.
 func (x *Exchange) beat(ctx context.Context, address, peerID string, seq uint64) (string, error) {
--- a/fleet/home/execute.go
+++ b/fleet/home/execute.go
@@ -120,10 +120,13 @@
 	if e.Outcome != outcome.Unknown || !cut {
 		return e
 	}
+	suspect := n.home.verdict(start.Fingerprint) != quarantine.Clear
 	if start.Fingerprint != 0 && n.crashed(ctx, before) {
 		n.home.opts.Quarantine.Crashed(start.Fingerprint)
+		n.home.opts.OnCrash()
 	}
-	if start.Idempotent {
+	// A suspect runs alone; what it met is its own doing.
+	if start.Idempotent && !suspect {
 		return e.WithReplan()
 	}
 	return e
--- a/fleet/home/home.go
+++ b/fleet/home/home.go
@@ -35,6 +35,7 @@
 	Config     func() *dynamic.Config // in force; nil before the first
 	Now        func() time.Time
 	Observer   Observer
+	OnCrash    func() // called when a request joins the quarantine
 }
 
 // releaseRepeat is how long a release is repeated to lenders.
--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -191,6 +191,7 @@
 		Self: holder, Directory: n.directory, Lender: n.lender, Shares: n.shares, Loads: n.loads,
 		Quarantine: n.quarantine, Stragglers: n.stragglers, Client: n.client,
 		Config: n.adopter.Config, Now: n.now, Observer: observer{n.metrics},
+		OnCrash: func() { n.exchange.Wake() },
 	})
 	n.router = router.New(router.Options{
 		SelfID: n.self.Id, Directory: n.directory, Loads: n.loads, Planner: n.planner(),
--- a/fleet/router/router.go
+++ b/fleet/router/router.go
@@ -90,6 +90,7 @@
 	sink     *startedSink
 	excluded map[string]bool
 	lostHome bool // a home was lost with this request
+	failed   bool // a backend server failed with this request
 }
 
 // plan returns the best backend server that has not refused.
@@ -134,6 +135,10 @@
 		a.lostHome = true
 		return true
 	}
+	if a.failed { // it may be what makes backend servers fail
+		return false
+	}
+	a.failed = true
 	return a.router.opts.Retries.Allow()
 }
 
