--- a/tests/process/stop_test.go
+++ b/tests/process/stop_test.go
@@ -94,7 +94,7 @@
 	})
 	s := steady()
 	long := s.Chats[0]
-	long.Users, long.MaxTokens = 4, longTokens
+	long.Users, long.MaxTokens = 12, longTokens
 	s.Chats = append(s.Chats, long)
 	l := f.startLoad(s)
 	for _, d := range f.daemons {
