--- a/fleet/home/home.go
+++ b/fleet/home/home.go
@@ -38,6 +38,7 @@
 	Now        func() time.Time
 	Observer   Observer
 	Log        zerolog.Logger
+	OnCrash    func() // called when a request joins the quarantine
 }
 
 // releaseRepeat is how long a release is repeated to lenders.
@@ -114,9 +115,7 @@
 		h.runners[vm.ID] = n
 	}
 	n.queue.SetLimit(r.maxInFlight)
-	if vm.State == platformapi.StateLeaving {
-		n.setLeaving(true)
-	}
+	n.setListed(vm.State == platformapi.StateLeaving)
 	switch {
 	case mine && !n.homed.Load():
 		h.takeOverLocked(n)
@@ -278,7 +277,7 @@
 func (h *Home) Settled() bool {
 	for _, n := range h.all() {
 		waiting := !n.external.known() || n.open() && n.allowed() <= 0
-		if n.homed.Load() && !n.leaving.Load() && n.misses.Load() == 0 && waiting {
+		if n.homed.Load() && !n.leaving() && n.misses.Load() == 0 && waiting {
 			return false
 		}
 	}
@@ -342,7 +341,7 @@
 			Queued:         uint32(counts.Queued),
 			Limit:          uint32(max(0, n.allowed())),
 			WeightPermille: uint32(fullWeight * n.detector().Weight(n.vm.ID)),
-			Leaving:        n.leaving.Load(),
+			Leaving:        n.leaving(),
 			PerTokenUs:     uint32(n.detector().PerToken(n.vm.ID).Microseconds()),
 		})
 	}
--- a/fleet/router/router.go
+++ b/fleet/router/router.go
@@ -95,6 +95,7 @@
 	excluded map[string]bool
 	unclear  error // the first failure after which the request may have run
 	lostHome bool  // a home was lost with this request
+	failed   bool  // a backend server failed with this request
 }
 
 // noteFailure returns what a failed attempt says about the whole request: when
@@ -152,6 +153,10 @@
 		a.lostHome = true
 		return true
 	}
+	if a.failed { // it may be what makes backend servers fail
+		return false
+	}
+	a.failed = true
 	return a.router.opts.Retries.Allow()
 }
 
