home, router: a cancelled request holds its slot a little; a lost one rests

Ruled out: the sum of lent shares (property test and model hold). Change: a slot whose request was cut is free 300 ms later; a request counts as seen by the engine once its answer has begun, or 2 s after it was sent. An idempotent request that was lost with its home and refused by all others since rests once and is tried anew, as 'unknown' would be all that is left to say. Conclusion: the engine's own count is what bounds it, also when callers leave.

--- a/fleet/home/execute.go
+++ b/fleet/home/execute.go
@@ -33,16 +33,44 @@
 	if err != nil {
 		return err
 	}
-	defer slot.Release()
 	span := n.spans.begin()
-	defer n.spans.finish(span)
+	defer func() {
+		n.spans.finish(span)
+		release(slot, err)
+	}()
 	h.opts.Observer.QueueWait(start.Workspace, dynamic.Class(start.Class), slot.Waited())
-	err = n.run(ctx, start, body, sink)
+	err = n.run(ctx, start, body, &beginSink{Sink: sink, begin: func() { n.spans.answer(span) }})
 	h.opts.Log.Debug().Str("request", start.RequestId).Str("backend", n.vm.ID).
 		Dur("queued", slot.Waited()).Err(err).Msg("request ran")
 	return err
 }
 
+// cancelTime is how long a backend server may go on with a request after its
+// connection was closed.
+const cancelTime = 300 * time.Millisecond
+
+// release gives a slot back: at once after a whole answer, else when the
+// backend server has had time to notice that nobody waits for the rest.
+func release(slot *admission.Slot, err error) {
+	if err != nil && outcome.From(err).Outcome != outcome.NotRun {
+		time.AfterFunc(cancelTime, slot.Release)
+		return
+	}
+	slot.Release()
+}
+
+// beginSink tells when an answer begins.
+type beginSink struct {
+	forward.Sink
+	begin func()
+}
+
+// Head implements forward.Sink.
+func (b *beginSink) Head(head forward.Head) error {
+	b.begin()
+	return b.Sink.Head(head)
+}
+
 // acquire waits for a slot.
 func (n *runner) acquire(ctx context.Context, start *peerpb.ForwardStart, r rules, deadline time.Time) (*admission.Slot, error) {
 	if !n.open() {
--- a/fleet/home/spans.go
+++ b/fleet/home/spans.go
@@ -8,14 +8,23 @@
 
 // Times of spans.
 const (
-	arrivalTime = 200 * time.Millisecond // by then a request that was sent is at the backend server
-	spanKeep    = 15 * time.Second       // longer than any report is late
+	arrivalTime = 2 * time.Second  // by then a request that was sent is at the backend server
+	spanKeep    = 15 * time.Second // longer than any report is late
 )
 
 // span is the time for which one request of this daemon was in flight.
 type span struct {
-	start time.Time
-	end   time.Time // zero: still in flight
+	start    time.Time
+	answered time.Time // when its answer began; zero: not yet
+	end      time.Time // zero: still in flight
+}
+
+// at reports whether the request was at the backend server at time t for
+// certain: its answer had begun, or it had been sent long before.
+func (sp *span) at(t time.Time) bool {
+	begun := !sp.answered.IsZero() && !sp.answered.After(t)
+	sent := !sp.start.After(t.Add(-arrivalTime))
+	return (begun || sent) && (sp.end.IsZero() || sp.end.After(t))
 }
 
 // spans remembers this daemon's requests of the last seconds, so that a late
@@ -38,6 +47,13 @@
 	return begun
 }
 
+// answer notes that the answer to a request has begun.
+func (s *spans) answer(begun *span) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	begun.answered = s.now()
+}
+
 // finish notes the end of a request.
 func (s *spans) finish(ended *span) {
 	s.mu.Lock()
@@ -54,14 +70,13 @@
 }
 
 // covering returns how many requests were at the backend server at time t for
-// certain: they had been sent well before and had not ended.
+// certain.
 func (s *spans) covering(t time.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	latest := t.Add(-arrivalTime)
 	n := 0
 	for _, sp := range s.all {
-		if !sp.start.After(latest) && (sp.end.IsZero() || sp.end.After(t)) {
+		if sp.at(t) {
 			n++
 		}
 	}
--- a/fleet/router/router.go
+++ b/fleet/router/router.go
@@ -63,8 +63,11 @@
 	r.opts.Retries.Fresh()
 	attempt := &attempt{router: r, req: req, sink: &startedSink{Sink: sink}, excluded: make(map[string]bool)}
 	var last error
-	for range maxAttempts {
+	for attempt.left = maxAttempts; attempt.left > 0; attempt.left-- {
 		choice, ok := attempt.plan()
+		if !ok && attempt.rest(ctx) {
+			choice, ok = attempt.plan()
+		}
 		if !ok {
 			break
 		}
@@ -96,6 +99,30 @@
 	unclear  error // the first failure after which the request may have run
 	lostHome bool  // a home was lost with this request
 	failed   bool  // a backend server failed with this request
+	rested   bool  // see rest
+	left     int   // attempts
+}
+
+// restTime is the pause before a request that was lost is tried anew.
+const restTime = 500 * time.Millisecond
+
+// rest waits and lets all backend servers be tried once more. It is for an
+// idempotent request that was lost with a home or a server and refused by all
+// others since: its caller would hear "unknown", with nothing to do but repeat
+// it.
+func (a *attempt) rest(ctx context.Context) bool {
+	if a.unclear == nil || a.rested || !a.req.Start.Idempotent {
+		return false
+	}
+	a.rested = true
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(restTime):
+	}
+	clear(a.excluded)
+	a.left = maxAttempts
+	return true
 }
 
 // noteFailure returns what a failed attempt says about the whole request: when
