fleet/backend: a stream is whole only if its last line ends it

Change: streamLines follows the lines: the last one that is not blank must be the end, and a part within a line is neither an end nor an event.

Conclusion: comments of an engine after [DONE] now make its answer truncated, as engineapi states.

--- a/fleet/backend/relay.go
+++ b/fleet/backend/relay.go
@@ -77,12 +77,11 @@
 func relayStream(ctx context.Context, body io.Reader, out *timedSink) error {
 	in := bufio.NewReaderSize(body, responseBufferLen)
 	pending := make([]byte, 0, responseBufferLen)
-	done := false
+	lines := streamLines{result: out.result}
 	for {
 		line, err := in.ReadSlice('\n')
 		pending = append(pending, line...)
-		done = done || isDone(line)
-		out.result.noteEvent(line)
+		lines.note(line, err == nil)
 		if len(pending) > 0 && (err != nil || in.Buffered() == 0 || len(pending) >= responseBufferLen) {
 			if _, werr := out.Write(pending); werr != nil {
 				return cutFailure(ctx, out, werr)
@@ -91,7 +90,7 @@
 		}
 		switch {
 		case err == nil || errors.Is(err, bufio.ErrBufferFull):
-		case errors.Is(err, io.EOF) && done:
+		case errors.Is(err, io.EOF) && lines.done:
 			return nil
 		default:
 			return cutFailure(ctx, out, err)
@@ -99,6 +98,24 @@
 	}
 }
 
+// streamLines follows the lines of a stream.
+type streamLines struct {
+	result *Result
+	inside bool // of a line that is longer than the buffer
+	done   bool // the last line that is not blank ends a whole stream
+}
+
+// note takes the next part of the stream, which ends a line or does not.
+func (l *streamLines) note(part []byte, endsLine bool) {
+	if len(bytes.TrimSpace(part)) > 0 {
+		l.done = !l.inside && isDone(part)
+	}
+	if !l.inside {
+		l.result.noteEvent(part)
+	}
+	l.inside = !endsLine
+}
+
 // isDone reports whether a line ends a whole stream.
 func isDone(line []byte) bool {
 	data, ok := bytes.CutPrefix(line, dataPrefix)
