fleet/peer, fleet/backend: answers without a final status are refused

Cause: found by the new FuzzAnswer in the first second: a home's head with status 0 went on to the caller's response writer. net/http panics at statuses below 100 and above 999, so the caller would see a broken connection and no outcome; it takes 1xx for interim ones. An engine can send such a status too (000 to 099, 101).

Change: outcome.IsFinalStatus; receiver.head and checkAnswer refuse others as unknown. A refusal "not run" after a head is unknown.

--- a/fleet/backend/client.go
+++ b/fleet/backend/client.go
@@ -173,8 +173,12 @@
 	return outcome.NewUnknown(code, "no answer from the backend server").WithCause(err)
 }
 
-// checkAnswer refuses an answer to another request.
+// checkAnswer refuses an answer to another request or without a final status.
 func checkAnswer(call Call, resp *http.Response) error {
+	if !outcome.IsFinalStatus(resp.StatusCode) {
+		message := fmt.Sprintf("backend server answered with status %d", resp.StatusCode)
+		return outcome.NewUnknown(outcome.CodeBackendFailed, message)
+	}
 	echoed := resp.Header.Get(engineapi.HeaderRequestID)
 	if call.RequestID == "" || echoed == "" || echoed == call.RequestID {
 		return nil
--- a/fleet/peer/forward.go
+++ b/fleet/peer/forward.go
@@ -121,7 +121,7 @@
 func (r *receiver) take(resp *peerpb.ForwardResponse) (bool, error) {
 	switch part := resp.Part.(type) {
 	case *peerpb.ForwardResponse_Refusal:
-		return true, forward.DecodeError(part.Refusal)
+		return true, r.refusal(part.Refusal)
 	case *peerpb.ForwardResponse_Head:
 		return false, r.head(part.Head)
 	case *peerpb.ForwardResponse_Data:
@@ -133,11 +133,24 @@
 	}
 }
 
+// refusal returns the failure that the home tells of. A request whose answer
+// has begun did run, whatever the home says of it.
+func (r *receiver) refusal(refusal *peerpb.Refusal) error {
+	e := forward.DecodeError(refusal)
+	if r.started && e.Outcome == outcome.NotRun {
+		return outcome.NewUnknown(outcome.CodeCrossed, "refusal came after the head of an answer").WithCause(e)
+	}
+	return e
+}
+
 // head passes the head on.
 func (r *receiver) head(head *peerpb.ResponseHead) error {
 	if r.started {
 		return outcome.NewUnknown(outcome.CodeCrossed, "second head came from the home")
 	}
+	if !outcome.IsFinalStatus(int(head.Status)) {
+		return outcome.NewUnknown(outcome.CodeCrossed, "head without a final status came from the home")
+	}
 	r.started = true
 	err := r.sink.Head(forward.Head{
 		Status:  int(head.Status),
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -97,6 +97,16 @@
 	return http.StatusBadGateway
 }
 
+// Bounds of the HTTP statuses that end a request. net/http takes lower ones for
+// interim answers or panics at them, as it does at higher ones.
+const (
+	minFinalStatus = 200
+	maxStatus      = 999
+)
+
+// IsFinalStatus reports whether an HTTP status may begin an answer.
+func IsFinalStatus(status int) bool { return status >= minFinalStatus && status <= maxStatus }
+
 // Error is a failed request: its outcome, its code and when to come back.
 type Error struct {
 	Outcome    Outcome
