fleet/heartbeat: a message that names no daemon is refused

Cause: found by the new FuzzHeartbeat at once: an empty HeartbeatRequest dereferences a nil Identity. drpc does not recover panics of handlers, so one such message ended the daemon. The answer of a peer was read the same way.

Change: both ends refuse it with an AnonymousError. FuzzHeartbeat holds that no message stops the daemon, no share goes to another than the home or for longer than a lease, and that answers keep their bounds.

--- /dev/null
+++ b/fleet/heartbeat/fuzz_test.go
@@ -0,0 +1,60 @@
+package heartbeat_test
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cassialatch.dev/wire/peerpb"
+)
+
+// fuzzBounds are the most that one answer may hold.
+const (
+	fuzzQuarantined = 32
+	fuzzDocuments   = 3 // base, overlay and VM list
+)
+
+// FuzzHeartbeat checks that no heartbeat stops the daemon or makes it lend a
+// share to another than the home, and that answers keep their bounds.
+func FuzzHeartbeat(f *testing.F) {
+	from := &peerpb.Identity{Id: "A", Incarnation: 1}
+	for _, req := range []*peerpb.HeartbeatRequest{
+		{From: from, Claims: []*peerpb.Claim{{Backend: "engine"}, {Backend: "engine"}, {Backend: "none"}}},
+		{From: from, Released: []string{"engine", "none"}, Draining: true},
+		{From: from, Loads: []*peerpb.BackendLoad{{Backend: "engine", Home: "A", InFlight: 3, PerTokenUs: 1, AgeMs: 1}}},
+		{From: from, Quarantined: []*peerpb.Quarantined{{Fingerprint: 1, Crashes: 1, TtlMs: 1000}}},
+		{From: &peerpb.Identity{}, Documents: []*peerpb.DocumentVersion{{Name: "base", Version: 9}}},
+	} {
+		encoded, err := proto.Marshal(req)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(encoded)
+	}
+	f.Fuzz(func(t *testing.T, message []byte) {
+		var req peerpb.HeartbeatRequest
+		if proto.Unmarshal(message, &req) != nil {
+			return
+		}
+		d := newDaemon(nil)
+		d.VMs(listOf(1, "A", "B"))
+		resp, err := d.Heartbeat(t.Context(), &req)
+		if err != nil {
+			return
+		}
+		if len(resp.Grants) != len(req.Claims) || len(resp.Quarantined) > fuzzQuarantined || len(resp.Documents) > fuzzDocuments {
+			t.Fatalf("answer %v", resp)
+		}
+		for _, grant := range resp.Grants {
+			lent := time.Duration(grant.DurationMs) * time.Millisecond
+			taken, _ := d.directory.Home(grant.Backend)
+			if lent > leaseTime || lent > 0 && (taken.ID != req.From.Id || grant.GroupSize == 0) {
+				t.Fatalf("grant %v to %v", grant, req.From)
+			}
+		}
+		if d.loads.Summaries(); len(d.loads.All()) > len(req.Loads) {
+			t.Fatalf("%d loads kept of %d", len(d.loads.All()), len(req.Loads))
+		}
+	})
+}
--- a/fleet/heartbeat/handler.go
+++ b/fleet/heartbeat/handler.go
@@ -62,6 +62,9 @@
 
 // Heartbeat answers a peer's heartbeat.
 func (x *Exchange) Heartbeat(ctx context.Context, req *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
+	if req.From == nil {
+		return nil, &AnonymousError{}
+	}
 	x.opts.Directory.Heard(req.From, req.Draining)
 	x.opts.Home.Learn(req.Loads)
 	x.opts.Quarantine.Import(req.Quarantined)
@@ -78,6 +81,12 @@
 	}, nil
 }
 
+// AnonymousError tells that a heartbeat or its answer names no daemon.
+type AnonymousError struct{}
+
+// Error implements error.
+func (*AnonymousError) Error() string { return "heartbeat: message names no daemon" }
+
 // grants decides about a peer's claims. A share is lent only to the daemon
 // that this one takes for the home.
 func (x *Exchange) grants(holder lease.Holder, claims []*peerpb.Claim) []*peerpb.Grant {
--- a/fleet/heartbeat/heartbeat_test.go
+++ b/fleet/heartbeat/heartbeat_test.go
@@ -191,19 +191,28 @@
 	is.True(d.AskedAll())
 }
 
-// TestPeerThatDoesNotAnswerKeepsNobodyFromServing replays
+// TestPeerWithoutAnAnswerKeepsNobodyFromServing replays
 // MUT_WAIT_FOR_STARTING: two daemons start at one time.
-func TestPeerThatDoesNotAnswerKeepsNobodyFromServing(t *testing.T) {
-	is := is.New(t)
-	peers := &peerFake{}
-	d := newDaemon(peers)
-	is.True(!d.AskedAll()) // no list yet
-	d.VMs(listOf(1, "L", "A"))
-	is.True(!d.AskedAll())
-	d.beatOnce(t, peers, func(*peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
-		return nil, &heartbeat.UnknownDocumentError{}
-	})
-	is.True(d.AskedAll())
+func TestPeerWithoutAnAnswerKeepsNobodyFromServing(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		resp *peerpb.HeartbeatResponse
+		err  error
+	}{
+		{"none", nil, &heartbeat.UnknownDocumentError{}},
+		{"one that names no daemon", &peerpb.HeartbeatResponse{}, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			peers := &peerFake{}
+			d := newDaemon(peers)
+			is.True(!d.AskedAll()) // no list yet
+			d.VMs(listOf(1, "L", "A"))
+			is.True(!d.AskedAll())
+			d.beatOnce(t, peers, func(*peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) { return tc.resp, tc.err })
+			is.True(d.AskedAll())
+		})
+	}
 }
 
 // TestSharesAreCountedFromWhenTheClaimWasSent replays MUT_COUNT_FROM_RECEIPT.
--- a/fleet/heartbeat/sender.go
+++ b/fleet/heartbeat/sender.go
@@ -143,6 +143,9 @@
 	if err != nil {
 		return "", err
 	}
+	if resp.From == nil {
+		return "", &AnonymousError{}
+	}
 	x.opts.Directory.Heard(resp.From, resp.Draining)
 	x.opts.Home.Learn(resp.Loads)
 	x.opts.Quarantine.Import(resp.Quarantined)
