fleet/entry: a huge max_tokens no longer wraps to a low cost

Cause: seen while writing FuzzChat: the cost was the 32-bit remainder of prompt and max_tokens, so a request for tokens cost its workspace as much as one for none, and the fair queue served it first.

Change: costOf saturates.

--- a/fleet/entry/chat.go
+++ b/fleet/entry/chat.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -62,10 +63,6 @@
 
 // startChat describes a chat request to the home.
 func (s *Server) startChat(c *call, req *engineapi.ChatRequest, deadline time.Duration, promptTokens int) *peerpb.ForwardStart {
-	maxTokens := req.MaxTokens
-	if maxTokens <= 0 {
-		maxTokens = defaultMaxTokens
-	}
 	header := c.r.Header.Clone()
 	header.Set(engineapi.HeaderPriority, strconv.Itoa(enginePriority(c)))
 	return &peerpb.ForwardStart{
@@ -78,13 +75,23 @@
 		Path:        "/v1/chat/completions",
 		Headers:     forward.EncodeHeader(header, ownHeaders...),
 		Idempotent:  true,
-		Cost:        uint32(promptTokens + maxTokens),
+		Cost:        costOf(promptTokens, req.MaxTokens),
 		Fingerprint: quarantine.Fingerprint(req.Model, req.Messages),
 		Priority:    int32(c.workspace.Priority),
 		Weight:      uint32(c.workspace.Weight),
 	}
 }
 
+// costOf estimates the tokens of a request. A limit that does not fit counts as
+// the highest cost.
+func costOf(promptTokens, maxTokens int) uint32 {
+	if maxTokens <= 0 {
+		maxTokens = defaultMaxTokens
+	}
+	maxTokens = min(maxTokens, math.MaxUint32)
+	return uint32(min(promptTokens+maxTokens, math.MaxUint32))
+}
+
 // classPriority separates the classes in the engine's own order; a workspace's
 // priority orders within one.
 const classPriority = 1000
