fleet/executor: "not run" of a ticket only after its executor withdrew it

Cause: replaying MUT_NOT_RUN_BEFORE_FORWARD at package executor: a daemon whose caller left, or whose deadline passed, before it had forwarded a ticket said "not run" without asking the executor. A copy sent elsewhere could run (docs/design/tickets.md, rule 4). settle knew peer_failed and truncated answers only.

Change: each "not run" that the executor itself did not tell goes to VoidTicket. The table test replays it and MUT_NOT_RUN_ON_SILENCE and MUT_VOID_BY_OTHER_INCARNATION for four ways to fail.

--- a/fleet/executor/executor.go
+++ b/fleet/executor/executor.go
@@ -114,7 +114,8 @@
 // executor is known not to run. What the executor itself told stands.
 func (x *Executor) settle(ctx context.Context, t ticket.Ticket, text string, failure *outcome.Error) *outcome.Error {
 	lost := failure.Code == outcome.CodePeerFailed || failure.Code == outcome.CodeTruncated
-	if !lost || errors.HasType(failure, (*forward.RemoteError)(nil)) {
+	doubtful := lost || failure.Outcome == outcome.NotRun
+	if !doubtful || errors.HasType(failure, (*forward.RemoteError)(nil)) {
 		failure.Replan = false
 		return failure
 	}
