--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 TESTED  := $(filter-out tools,$(MODULES))
 PKGS    := $(TESTED:%=./%/...)
 
-.PHONY: all build fmt-check vet lint test demo bench policy-bench model model-mutants generate clean
+.PHONY: all build fmt-check vet lint test fuzz demo bench policy-bench model model-mutants generate clean
 
 all: build
 
@@ -22,6 +22,10 @@
 test:
 	go test -race -count=1 $(PKGS)
 
+# Each fuzz target for FUZZTIME, 10s unless given. "make test" runs their seeds.
+fuzz:
+	scripts/fuzz.sh $(PKGS)
+
 demo:
 	scripts/demo.sh
 
