--- /dev/null
+++ b/fleet/router/router_test.go
@@ -0,0 +1,93 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cassialatch.dev/fleet/forward"
+	"cassialatch.dev/fleet/loadtable"
+	"cassialatch.dev/fleet/member"
+	"cassialatch.dev/fleet/placement"
+	"cassialatch.dev/fleet/retry"
+	"cassialatch.dev/outcome"
+	"cassialatch.dev/wire/peerpb"
+	"cassialatch.dev/wire/platformapi"
+)
+
+// failing is a home that fails each request and counts them.
+type failing struct {
+	err  error
+	runs int
+}
+
+// Execute implements forward.Executor.
+func (f *failing) Execute(context.Context, *peerpb.ForwardStart, []byte, forward.Sink) error {
+	f.runs++
+	return f.err
+}
+
+// inOrder plans all candidates that are not excluded.
+type inOrder struct{}
+
+// Plan implements placement.Planner.
+func (inOrder) Plan(req placement.Request, candidates []placement.Candidate) []placement.Choice {
+	var choices []placement.Choice
+	for _, c := range candidates {
+		if !req.Excluded(c.Backend) {
+			choices = append(choices, placement.Choice{Backend: c.Backend})
+		}
+	}
+	return choices
+}
+
+func TestRequestIsPlacedAnewWithinBounds(t *testing.T) {
+	failed := outcome.NewUnknown(outcome.CodeBackendFailed, "cut").WithReplan()
+	lost := outcome.NewUnknown(outcome.CodePeerFailed, "lost").WithReplan()
+	tests := []struct {
+		name       string
+		err        error
+		idempotent bool
+		budget     float64 // retries for each request
+		runs       int
+	}{
+		{"not run is tried until the attempts end", outcome.NewNotRun(outcome.CodeLoadLimit, "full").WithReplan(), false, 0, maxAttempts},
+		{"a failed server is left once", failed, true, 10, 2},
+		{"a failed server is not left without budget", failed, true, 0, 1},
+		{"a lost home is left once without budget", lost, true, 0, 2},
+		{"what may have run is not repeated", lost, false, 10, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			home := &failing{err: test.err}
+			r := New(Options{
+				SelfID: "entry", Directory: directory(), Loads: loadtable.New(time.Second, time.Now), Planner: inOrder{},
+				Local: home, Retries: retry.NewBudget(test.budget, 0, nil),
+			})
+			start := &peerpb.ForwardStart{Service: "klang-model", Idempotent: test.idempotent}
+			err := r.Route(context.Background(), Request{Start: start}, nil)
+			is.Equal(outcome.From(err).Code, outcome.From(test.err).Code)
+			is.Equal(home.runs, test.runs)
+		})
+	}
+}
+
+// directory lists one daemon and more backend servers than attempts.
+func directory() *member.Directory {
+	d := member.NewDirectory(member.Options{Self: &peerpb.Identity{Id: "entry"}, Site: "s"}, time.Now)
+	list := &platformapi.VMList{Version: 1, VMs: []platformapi.VM{
+		{ID: "entry", Role: platformapi.RoleEntry, Site: "s", Zone: "z", State: platformapi.StateLive},
+	}}
+	for i := range maxAttempts + 1 {
+		list.VMs = append(list.VMs, platformapi.VM{
+			ID: fmt.Sprintf("klang-%d", i), Role: platformapi.RoleBackend, Site: "s", Zone: "z",
+			Service: "klang-model", State: platformapi.StateLive,
+		})
+	}
+	d.SetList(list)
+	return d
+}
