lease, home: a held share is claimed anew after a third of its lease

Cause: each heartbeat claimed every share again, at a sixth of the lease.

Ruled out: claiming at half of the lease. It leaves two heartbeats before the lease ends when one peer is slow.

Change: a share is claimed when it is not held or a third of its lease has run; two thirds are left for lost heartbeats. Refusals still end a share at once, and a lender still waits for the end of its lease.

--- a/fleet/home/home.go
+++ b/fleet/home/home.go
@@ -221,12 +221,13 @@
 	}
 }
 
-// Claims returns the backend servers whose shares this daemon asks of a
-// lender.
+// Claims returns the backend servers whose shares this daemon asks of a lender
+// now. A share that is held is claimed anew well before its lease ends.
 func (h *Home) Claims(lender string) []*peerpb.Claim {
 	var claims []*peerpb.Claim
 	for _, n := range h.all() {
-		if n.homed.Load() && slices.Contains(h.opts.Directory.Group(n.vm.ID), lender) {
+		lends := slices.Contains(h.opts.Directory.Group(n.vm.ID), lender)
+		if n.homed.Load() && lends && h.opts.Shares.Due(n.vm.ID, lender) {
 			claims = append(claims, &peerpb.Claim{Backend: n.vm.ID})
 		}
 	}
--- a/fleet/lease/lease_test.go
+++ b/fleet/lease/lease_test.go
@@ -200,3 +200,19 @@
 	}
 	return n
 }
+
+func TestShareIsDueWellBeforeItsLeaseEnds(t *testing.T) {
+	is := is.New(t)
+	at := time.Unix(1000, 0)
+	shares := NewShares(func() time.Time { return at })
+
+	is.True(shares.Due("engine", "a")) // never held
+	shares.Granted("engine", "a", at, 3*time.Second, 9)
+	is.True(!shares.Due("engine", "a"))
+	is.True(shares.Due("engine", "b")) // another lender's
+	at = at.Add(time.Second)
+	is.True(shares.Due("engine", "a"))
+	is.Equal(shares.Fraction("engine").Lenders, 1) // still valid
+	shares.Refused("engine", "a")
+	is.True(shares.Due("engine", "a"))
+}
--- a/fleet/lease/shares.go
+++ b/fleet/lease/shares.go
@@ -9,9 +9,14 @@
 // clocks that run at different rates cannot stretch it.
 const driftMargin = 0.05
 
+// renewAfter is the fraction of a lease after which its holder claims it anew.
+// What is left covers several lost heartbeats.
+const renewAfter = 1.0 / 3
+
 // share is one lender's share as its holder counts it.
 type share struct {
 	until     time.Time
+	renew     time.Time
 	groupSize int
 }
 
@@ -43,7 +48,20 @@
 		of = make(map[string]share)
 		s.shares[backend] = of
 	}
-	of[lender] = share{until: claimSent.Add(duration - margin), groupSize: groupSize}
+	of[lender] = share{
+		until:     claimSent.Add(duration - margin),
+		renew:     claimSent.Add(time.Duration(float64(duration) * renewAfter)),
+		groupSize: groupSize,
+	}
+}
+
+// Due reports whether a lender's share is to be claimed: it is not held, or
+// its lease has run for a while.
+func (s *Shares) Due(backend, lender string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held, ok := s.shares[backend][lender]
+	return !ok || !s.now().Before(held.renew)
 }
 
 // Refused forgets a lender's share: the lender does not lend it any longer.
