--- a/fleet/heartbeat/handler.go
+++ b/fleet/heartbeat/handler.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -54,6 +55,8 @@
 	list  listCache
 	asked askedPeers
 	wake  wakeup
+	seq   atomic.Uint64 // of heartbeats sent
+	order arrivals      // of heartbeats answered
 }
 
 // New returns an Exchange.
@@ -70,13 +73,17 @@
 	x.opts.Home.Learn(req.Loads)
 	x.opts.Quarantine.Import(req.Quarantined)
 	holder := lease.Holder{ID: req.From.Id, Incarnation: req.From.Incarnation}
-	for _, backend := range req.Released {
-		x.opts.Lender.Release(backend, holder)
-	}
+	var grants []*peerpb.Grant
+	x.order.inOrder(req, func() {
+		for _, backend := range req.Released {
+			x.opts.Lender.Release(backend, holder)
+		}
+		grants = x.grants(holder, req.Claims)
+	})
 	return &peerpb.HeartbeatResponse{
 		From:        x.opts.Self,
 		Draining:    x.opts.Directory.Draining(),
-		Grants:      x.grants(holder, req.Claims),
+		Grants:      grants,
 		Quarantined: x.opts.Quarantine.Export(maxQuarantined),
 		Documents:   x.versions(),
 	}, nil
--- a/fleet/heartbeat/heartbeat_test.go
+++ b/fleet/heartbeat/heartbeat_test.go
@@ -33,6 +33,7 @@
 type daemon struct {
 	*heartbeat.Exchange
 	elapsed   atomic.Int64 // nanoseconds
+	seq       uint64       // of the peers' heartbeats
 	directory *member.Directory
 	adopter   *adopt.Adopter
 	lender    *lease.Lender
@@ -81,7 +82,8 @@
 // hears has a peer send a heartbeat and returns the grant if it claims.
 func (d *daemon) hears(t *testing.T, id string, incarnation uint64, claims bool, released ...string) *peerpb.Grant {
 	t.Helper()
-	req := &peerpb.HeartbeatRequest{From: &peerpb.Identity{Id: id, Incarnation: incarnation}, Released: released}
+	d.seq++
+	req := &peerpb.HeartbeatRequest{Seq: d.seq, From: &peerpb.Identity{Id: id, Incarnation: incarnation}, Released: released}
 	if claims {
 		req.Claims = []*peerpb.Claim{{Backend: "engine"}}
 	}
@@ -117,12 +119,31 @@
 	d.hears(t, second, 1, false, "engine")
 	is.True(!lent(d.hears(t, second, 1, true))) // only the holder gives back
 	d.hears(t, second, 1, false)
-	req := &peerpb.HeartbeatRequest{From: &peerpb.Identity{Id: first, Incarnation: 1}, Draining: true, Released: []string{"engine"}}
+	d.seq++
+	req := &peerpb.HeartbeatRequest{Seq: d.seq, From: &peerpb.Identity{Id: first, Incarnation: 1}, Draining: true, Released: []string{"engine"}}
 	_, err := d.Heartbeat(t.Context(), req)
 	is.NoErr(err)
 	is.True(lent(d.hears(t, second, 1, true))) // given back: lent at once
 }
 
+// TestReleaseThatComesLateIsIgnored delays a release until the share has been
+// claimed again: taken at its word, it would let the share be lent twice.
+func TestReleaseThatComesLateIsIgnored(t *testing.T) {
+	is := is.New(t)
+	d := newDaemon(nil)
+	d.VMs(listOf(1, "A", "B"))
+	first := d.directory.Group("engine")[0]
+	from := &peerpb.Identity{Id: first, Incarnation: 1}
+	late := &peerpb.HeartbeatRequest{Seq: 1, From: from, Released: []string{"engine"}}
+	claim := &peerpb.HeartbeatRequest{Seq: 2, From: from, Claims: []*peerpb.Claim{{Backend: "engine"}}}
+	resp, err := d.Heartbeat(t.Context(), claim)
+	is.NoErr(err)
+	is.True(resp.Grants[0].DurationMs > 0)
+	_, err = d.Heartbeat(t.Context(), late)
+	is.NoErr(err)
+	is.Equal(d.lender.Lent(), 1)
+}
+
 // peerFake is a peer that answers, or does not.
 type peerFake struct {
 	heartbeat func(req *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error)
--- a/fleet/lease/shares.go
+++ b/fleet/lease/shares.go
@@ -9,10 +9,15 @@
 // clocks that run at different rates cannot stretch it.
 const driftMargin = 0.05
 
+// renewAfter is the fraction of a lease after which its holder claims it anew.
+// What is left covers several lost heartbeats.
+const renewAfter = 1.0 / 3
+
 // share is one lender's share as its holder counts it.
 type share struct {
 	since     time.Time // held without a gap
 	until     time.Time
+	renew     time.Time
 	groupSize int
 }
 
@@ -75,7 +80,21 @@
 	if held, ok := of[lender]; ok && now.Before(held.until) {
 		since = held.since // the lender lent it to nobody else meanwhile
 	}
-	of[lender] = share{since: since, until: claimSent.Add(duration - margin), groupSize: groupSize}
+	of[lender] = share{
+		since:     since,
+		until:     claimSent.Add(duration - margin),
+		renew:     claimSent.Add(time.Duration(float64(duration) * renewAfter)),
+		groupSize: groupSize,
+	}
+}
+
+// Due reports whether a lender's share is to be claimed: it is not held, or
+// its lease has run for a while.
+func (s *Shares) Due(backend, lender string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held, ok := s.shares[backend][lender]
+	return !ok || !s.now().Before(held.renew)
 }
 
 // Refused forgets a lender's share: the lender does not lend it any longer.
