router, retry: each model's retry budget from the configuration

The node built one budget with a constant of 10 %, so retry_budget of a model was read, checked and never used.

A router now keeps a budget for each service and sets its ratio from the configuration in force at each request. Credit survives a change. The floor of one retry a second stays, but a model with retry_budget = 0 gets none. Ruled out: one budget for the daemon with the smallest ratio, since one model's fault would spend the others' retries.

--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -33,7 +33,6 @@
 	"cassialatch.dev/fleet/placement"
 	"cassialatch.dev/fleet/platform"
 	"cassialatch.dev/fleet/quarantine"
-	"cassialatch.dev/fleet/retry"
 	"cassialatch.dev/fleet/router"
 	"cassialatch.dev/fleet/straggler"
 	"cassialatch.dev/fleet/ticketbook"
@@ -51,8 +50,6 @@
 	maxAnswerBytes  = 256 << 10       // of one answer kept for resends
 	maxAnswersBytes = 32 << 20        // of all of them
 	ticketRetain    = time.Minute     // beyond a ticket's expiry
-	minRetries      = 1.0             // retries a second that are always allowed
-	defaultRetries  = 0.1             // of fresh requests, when no model sets it
 )
 
 // Options configure a Node.
@@ -83,7 +80,6 @@
 	quarantine *quarantine.Table
 	stragglers *straggler.Set
 	index      *warm.Index
-	retries    *retry.Budget
 	limiter    *limit.Limiter
 	metrics    *metric.Metrics
 	meter      *traffic.Meter
@@ -176,7 +172,6 @@
 	n.quarantine = quarantine.New(quarantine.Options{}, n.now)
 	n.stragglers = straggler.NewSet(straggler.Options{}, n.now)
 	n.index = warm.New(indexEntries)
-	n.retries = retry.NewBudget(defaultRetries, minRetries, n.now)
 	n.limiter = limit.New(limit.Options{})
 	return nil
 }
@@ -194,7 +189,7 @@
 	})
 	n.router = router.New(router.Options{
 		SelfID: n.self.Id, Directory: n.directory, Loads: n.loads, Planner: n.planner(),
-		Local: n.home, Peers: n.peers, Retries: n.retries, OnRetry: n.metrics.Retry,
+		Local: n.home, Peers: n.peers, Config: n.adopter.Config, OnRetry: n.metrics.Retry,
 	})
 	n.executor = executor.New(executor.Options{
 		Self: holder, Ring: n.ring, Router: n.router, Peers: n.peers, MaxAnswerBytes: maxAnswerBytes,
--- /dev/null
+++ b/fleet/router/budget.go
@@ -0,0 +1,57 @@
+package router
+
+import (
+	"sync"
+
+	"cassialatch.dev/config/dynamic"
+	"cassialatch.dev/fleet/retry"
+)
+
+// minRetries is the number of retries a second that is allowed however few
+// requests there are, unless the configuration allows none at all.
+const minRetries = 1.0
+
+// budget bounds the further copies of requests for one service.
+type budget struct {
+	retries *retry.Budget
+}
+
+// budgets are the budgets of all services, as the configuration in force says.
+type budgets struct {
+	mu        sync.Mutex
+	byService map[string]*budget
+}
+
+// of returns the budget of a service.
+func (b *budgets) of(service string, config *dynamic.Config) *budget {
+	ratio := retryRatio(service, config)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	known, ok := b.byService[service]
+	if !ok {
+		known = &budget{retries: retry.NewBudget(ratio, floor(ratio), nil)}
+		b.byService[service] = known
+		return known
+	}
+	known.retries.Set(ratio, floor(ratio))
+	return known
+}
+
+// retryRatio returns the retries of a service as a fraction of its fresh
+// requests.
+func retryRatio(service string, config *dynamic.Config) float64 {
+	if config != nil {
+		if model, ok := config.Models[service]; ok {
+			return model.RetryBudget
+		}
+	}
+	return dynamic.DefaultRetryBudget
+}
+
+// floor returns the retries a second that need no fresh requests.
+func floor(ratio float64) float64 {
+	if ratio <= 0 {
+		return 0
+	}
+	return minRetries
+}
--- a/fleet/router/router.go
+++ b/fleet/router/router.go
@@ -13,7 +13,6 @@
 	"cassialatch.dev/fleet/loadtable"
 	"cassialatch.dev/fleet/member"
 	"cassialatch.dev/fleet/placement"
-	"cassialatch.dev/fleet/retry"
 	"cassialatch.dev/outcome"
 	"cassialatch.dev/wire/peerpb"
 	"cassialatch.dev/wire/platformapi"
@@ -39,17 +38,23 @@
 	Planner   placement.Planner
 	Local     forward.Executor // the home of this daemon
 	Peers     Peers
-	Retries   *retry.Budget
-	OnRetry   func() // called for each further attempt; nil: not called
+	Config    func() *dynamic.Config // in force, with the budgets; nil: defaults
+	OnRetry   func()                 // called for each further attempt; nil: not called
 }
 
 // Router places requests. It is safe for concurrent use.
 type Router struct {
-	opts Options
+	opts    Options
+	budgets budgets
 }
 
 // New returns a Router.
-func New(opts Options) *Router { return &Router{opts: opts} }
+func New(opts Options) *Router {
+	if opts.Config == nil {
+		opts.Config = func() *dynamic.Config { return nil }
+	}
+	return &Router{opts: opts, budgets: budgets{byService: make(map[string]*budget)}}
+}
 
 // Request is a request to place.
 type Request struct {
@@ -60,8 +65,11 @@
 
 // Route runs a request on a backend server of its service.
 func (r *Router) Route(ctx context.Context, req Request, sink forward.Sink) error {
-	r.opts.Retries.Fresh()
-	attempt := &attempt{router: r, req: req, sink: &startedSink{Sink: sink}, excluded: make(map[string]bool)}
+	attempt := &attempt{
+		router: r, req: req, sink: &startedSink{Sink: sink}, excluded: make(map[string]bool),
+		budget: r.budgets.of(req.Start.Service, r.opts.Config()),
+	}
+	attempt.budget.retries.Fresh()
 	var last error
 	for range maxAttempts {
 		choice, ok := attempt.plan()
@@ -92,6 +100,7 @@
 	router   *Router
 	req      Request
 	sink     *startedSink
+	budget   *budget
 	excluded map[string]bool
 }
 
@@ -128,7 +137,7 @@
 	if e.Outcome == outcome.NotRun {
 		return true
 	}
-	return a.req.Start.Idempotent && a.router.opts.Retries.Allow()
+	return a.req.Start.Idempotent && a.budget.retries.Allow()
 }
 
 // homeOf returns the Executor of a backend server's home.
