--- a/fleet/router/router_test.go
+++ b/fleet/router/router_test.go
@@ -8,11 +8,11 @@
 
 	"github.com/matryer/is"
 
+	"cassialatch.dev/config/dynamic"
 	"cassialatch.dev/fleet/forward"
 	"cassialatch.dev/fleet/loadtable"
 	"cassialatch.dev/fleet/member"
 	"cassialatch.dev/fleet/placement"
-	"cassialatch.dev/fleet/retry"
 	"cassialatch.dev/outcome"
 	"cassialatch.dev/wire/peerpb"
 	"cassialatch.dev/wire/platformapi"
@@ -64,9 +64,10 @@
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			home := &failing{err: test.err}
+			config := &dynamic.Config{Models: map[string]*dynamic.Model{"klang-model": {RetryBudget: test.budget}}}
 			r := New(Options{
 				SelfID: "entry", Directory: directory(), Loads: loadtable.New(time.Second, time.Now), Planner: inOrder{},
-				Local: home, Retries: retry.NewBudget(test.budget, 0, nil),
+				Local: home, Config: func() *dynamic.Config { return config },
 			})
 			start := &peerpb.ForwardStart{Service: "klang-model", Idempotent: test.idempotent}
 			err := r.Route(context.Background(), Request{Start: start}, nil)
