entry, executor: 'not run' of a ticket only when no copy of it can run

Ruled out: passing each such call on, which the limits are there to prevent. Change: a refusal before Submit withdraws the ticket at its executor first; only a withdrawn ticket is 'not run'. An unknown key is 'unknown'. Calls that rest on the backend server's own key check are not repeated by us, as the check may be one server's own; the key leads a resend to the same server. Before: TestRefusedResendOfABookingIsNotCalledNotRun said 'not true' with the check taken out. After: green. Conclusion: 'not run' holds for the operation, not for one copy of it.

--- a/fleet/entry/server.go
+++ b/fleet/entry/server.go
@@ -33,6 +33,8 @@
 // Submitter runs a request that carries a ticket.
 type Submitter interface {
 	Submit(ctx context.Context, start *peerpb.ForwardStart, body []byte, sink forward.Sink) error
+	// Withdraw turns a refusal before Submit into what is known of the ticket.
+	Withdraw(ctx context.Context, ticket string, refusal *outcome.Error) *outcome.Error
 }
 
 // Observer hears how requests go; see package metric.
@@ -94,6 +96,7 @@
 	id        string
 	class     dynamic.Class
 	sink      *sink
+	submitted bool // to the executor of its ticket, whose word stands
 	began     time.Time
 }
 
@@ -110,10 +113,24 @@
 			w.Header().Set("Connection", "close")
 		}
 		err := s.admit(c, handle)
-		s.finish(c, err)
+		s.finish(c, s.settle(c, err))
 	}
 }
 
+// settle makes sure that "not run" is said of a request with a ticket only when
+// no copy of it runs: an earlier one may have gone through another daemon.
+func (s *Server) settle(c *call, err error) error {
+	text := c.r.Header.Get(outcome.HeaderTicket)
+	if err == nil || text == "" || c.submitted {
+		return err
+	}
+	e := outcome.From(err)
+	if e.Outcome != outcome.NotRun {
+		return err
+	}
+	return s.opts.Executor.Withdraw(c.r.Context(), text, e)
+}
+
 // admit checks a call against the workspace's rules and handles it.
 func (s *Server) admit(c *call, handle func(*call) error) error {
 	c.config = s.opts.Config()
--- a/fleet/entry/service.go
+++ b/fleet/entry/service.go
@@ -30,8 +30,13 @@
 		c.class = rule.Class
 	}
 	start := s.startPlain(c, service, path, rule)
-	if rule.Idempotent || s.repeatable(c, service) {
-		return s.routePlain(c, start, body)
+	if rule.Idempotent {
+		return s.routePlain(c, start, body, c.id)
+	}
+	if s.checked(c, service) {
+		// Not repeated here; the key leads the caller's own resend to the
+		// same backend server as long as it may get work.
+		return s.routePlain(c, start, body, c.r.Header.Get(outcome.HeaderKey))
 	}
 	start.Ticket = c.r.Header.Get(outcome.HeaderTicket)
 	if start.Ticket == "" && s.opts.Directory.Draining() {
@@ -41,22 +46,23 @@
 		c.w.Header().Set(outcome.HeaderTicket, s.ticket())
 		return outcome.NewNotRun(outcome.CodeTicketRequired, "call may not be repeated: send it with the ticket of this answer")
 	}
+	c.submitted = true
 	return s.opts.Executor.Submit(c.r.Context(), start, body, c.sink)
 }
 
-// repeatable reports whether the service's backend servers themselves refuse a
+// checked reports whether the service's backend servers themselves refuse a
 // second run, by the caller's key.
-func (s *Server) repeatable(c *call, service *dynamic.Service) bool {
+func (s *Server) checked(c *call, service *dynamic.Service) bool {
 	return service.ChecksKey && c.r.Header.Get(outcome.HeaderKey) != ""
 }
 
-// routePlain runs a call that needs no ticket.
-func (s *Server) routePlain(c *call, start *peerpb.ForwardStart, body []byte) error {
-	start.Idempotent = true
+// routePlain runs a call that needs no ticket. Calls with the same key go to
+// the same backend server where possible.
+func (s *Server) routePlain(c *call, start *peerpb.ForwardStart, body []byte, key string) error {
 	return s.opts.Router.Route(c.r.Context(), router.Request{
 		Start: start,
 		Body:  body,
-		Place: placement.Request{ChatKey: c.id, Class: c.class},
+		Place: placement.Request{ChatKey: key, Class: c.class},
 	}, c.sink)
 }
 
--- a/fleet/executor/executor.go
+++ b/fleet/executor/executor.go
@@ -102,6 +102,10 @@
 // open checks a sealed ticket.
 func (x *Executor) open(text string) (ticket.Ticket, error) {
 	t, err := ticket.Open(x.opts.Ring, text)
+	if errors.Is(err, keyring.ErrUnknownKey) {
+		// Its executor may know the key, so it may have run.
+		return t, outcome.NewUnknown(outcome.CodeTicketInvalid, "ticket has a key that is not known here").WithCause(err)
+	}
 	if err != nil {
 		return t, outcome.NewNotRun(outcome.CodeTicketInvalid, "ticket is not valid").WithCause(err)
 	}
@@ -119,9 +123,38 @@
 		failure.Replan = false
 		return failure
 	}
+	return x.withdraw(ctx, t, text, failure)
+}
+
+// Withdraw turns a refusal of a request with a ticket, by a daemon that did not
+// pass it on, into what is known of the ticket: an earlier copy of the request
+// may have run. A ticket that is not valid never runs.
+func (x *Executor) Withdraw(ctx context.Context, text string, refusal *outcome.Error) *outcome.Error {
+	t, err := x.open(text)
+	switch {
+	case err == nil:
+		return x.withdraw(ctx, t, text, refusal)
+	case outcome.From(err).Outcome == outcome.Unknown:
+		return outcome.From(err)
+	default:
+		return refusal
+	}
+}
+
+// state asks the executor of a ticket to withdraw it and returns what became
+// of it.
+func (x *Executor) state(ctx context.Context, t ticket.Ticket, text string) (peerpb.VoidTicketResponse_State, error) {
+	if t.Executor == x.opts.Self.ID {
+		return x.Void(text), nil
+	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), voidTimeout)
 	defer cancel()
-	state, err := x.opts.Peers.VoidTicket(ctx, t.Peer, text)
+	return x.opts.Peers.VoidTicket(ctx, t.Peer, text)
+}
+
+// withdraw turns a failure into what is known of a ticket.
+func (x *Executor) withdraw(ctx context.Context, t ticket.Ticket, text string, failure *outcome.Error) *outcome.Error {
+	state, err := x.state(ctx, t, text)
 	switch {
 	case err != nil:
 		return outcome.NewUnknown(outcome.CodeExecutorAway, "executor of the ticket is not reached").WithCause(failure)
--- a/fleet/peer/fuzz_test.go
+++ b/fleet/peer/fuzz_test.go
@@ -145,7 +145,7 @@
 	f.Add(slices.Concat(frames(f, head), frames(f, data), frames(f, end))) // part of another answer
 	f.Fuzz(func(t *testing.T, parts []byte) {
 		stream, sink := &answerStream{data: parts}, &sinkFake{}
-		err := (&receiver{nonce: fuzzNonce, sink: sink}).run(t.Context(), stream)
+		err := (&receiver{nonce: fuzzNonce, sink: sink, answers: func() {}}).run(t.Context(), stream)
 
 		body, whole := wholeAnswer(stream.given)
 		began := len(sink.order) > 0
--- a/tests/callers/callers_test.go
+++ b/tests/callers/callers_test.go
@@ -173,3 +173,29 @@
 	http.DefaultClient.CloseIdleConnections()
 	goleak.VerifyNone(t, ignore)
 }
+
+func TestRefusedResendOfABookingIsNotCalledNotRun(t *testing.T) {
+	is := is.New(t)
+	f := harness.Start(t, harness.Options{Daemons: 2, Services: 1, Base: harness.Base + "requests_per_sec = 1.0\nburst = 1\n"})
+	answer := struct {
+		Tickets []string `json:"tickets"`
+	}{}
+	first, second := f.Daemons[0].Settings.Listen.Caller, f.Daemons[1].Settings.Listen.Caller
+	resp, err := http.Get("http://" + first + "/v1/entry?tickets=1")
+	is.NoErr(err)
+	is.NoErr(json.NewDecoder(resp.Body).Decode(&answer))
+	resp.Body.Close()
+	book := func(address string) reply {
+		header := http.Header{outcome.HeaderTicket: answer.Tickets}
+		return post(t, address, "POST", "/svc/arkiv-app/bookings", "skule", strings.NewReader(`{"id":"a"}`), header)
+	}
+	is.Equal(book(first).status, http.StatusOK)
+	limited := false
+	for range 5 { // the second daemon refuses some for its own rate limit
+		got := book(second)
+		limited = limited || got.status >= http.StatusBadRequest
+		is.True(got.outcome != outcome.NotRun)
+	}
+	is.True(limited)
+	is.Equal(f.Services[0].Ledger().Bookings["a"], 1)
+}
