--- a/tests/invariant/not_run_test.go
+++ b/tests/invariant/not_run_test.go
@@ -206,6 +206,7 @@
 }
 
 func TestNotRunOfAChatIsTrue(t *testing.T) {
+	t.Parallel()
 	f := harness.Start(t, harness.Options{Daemons: 3, Engines: 2})
 	entry, homes := f.Daemons[2:], f.Daemons[:2] // the engines' zones are those of the first two
 	cases := []struct {
@@ -277,6 +278,7 @@
 }
 
 func TestOutcomesStayTrueInAStormOfFailures(t *testing.T) {
+	t.Parallel()
 	const callers, each = 12, 12
 	f := harness.Start(t, harness.Options{Daemons: 3, Engines: 3, Services: 2, Service: plainservice.Config{Delay: 5 * time.Millisecond}})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/tests/invariant/whole_answer_test.go
+++ b/tests/invariant/whole_answer_test.go
@@ -179,6 +179,7 @@
 }
 
 func TestCutStreamNeverEndsClean(t *testing.T) {
+	t.Parallel()
 	f := harness.Start(t, harness.Options{Daemons: 3, Engines: 2})
 	entry, homes := f.Daemons[2:], f.Daemons[:2]
 	cases := []struct {
@@ -231,6 +232,7 @@
 }
 
 func TestAnswersOfManyChatsAreTheirOwn(t *testing.T) {
+	t.Parallel()
 	const callers, turns = 16, 10
 	f := harness.Start(t, harness.Options{Daemons: 3, Engines: 3})
 	for _, storm := range []bool{false, true} {
