--- a/fleet/home/runner.go
+++ b/fleet/home/runner.go
@@ -16,9 +16,10 @@
 
 // Times of load reports.
 const (
-	reportInterval = 500 * time.Millisecond
-	reportTimeout  = time.Second
-	maxMisses      = 2 // failed reports in a row after which a server gets no work
+	reportInterval    = 500 * time.Millisecond
+	unsettledInterval = 100 * time.Millisecond // while a hand-over is not done
+	reportTimeout     = time.Second
+	maxMisses         = 2 // failed reports in a row after which a server gets no work
 )
 
 // rules are the parts of the configuration that concern one backend server.
@@ -131,11 +132,23 @@
 		n.readReport(ctx)
 		select {
 		case <-ctx.Done():
-		case <-time.After(reportInterval):
+		case <-time.After(n.reportPause()):
 		}
 	}
 }
 
+// reportPause returns the time until the next report: a short one while shares
+// that this daemon holds wait for a report, or work of others is known.
+func (n *runner) reportPause() time.Duration {
+	seen := n.external.seen()
+	held := n.home.opts.Shares.Fraction(n.vm.ID)
+	used := n.home.opts.Shares.FractionSince(n.vm.ID, seen.at)
+	if seen.work > 0 || used.Lenders < held.Lenders {
+		return unsettledInterval
+	}
+	return reportInterval
+}
+
 // readReport reads and applies one report.
 func (n *runner) readReport(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
