router: hedges of short and chat work

hedge_budget was read and checked, and nothing was ever hedged: a chat on an engine that turned slow waited until its deadline.

A short or chat request of a model that is idempotent, has no ticket and is no suspect of the quarantine goes to a second engine when it has waited for the first byte of its body longer than the p95 that this entry observed (by model, class, streamed or not; at least 50 ms; none below 32 observations). The second engine must have room by its known load, and each request of the model earns hedge_budget of a hedge, with no floor by time. The first copy with a part of the body wins, its head held back until then; the other one is cancelled and passes nothing on. While no engine has room the entry looks again after each further delay.

Ruled out: deciding on the head, which some engines send at once; a fixed delay; hedging at the home, which is itself slow when the straggler is the daemon.

Test: the answer of an engine slowed 100,000 times comes whole from another one and the slow one's work is cancelled; with a budget of 0 the slow one answers. Not measured: p99 with a fifth of the engines slowed.

--- a/fleet/entry/chat.go
+++ b/fleet/entry/chat.go
@@ -57,6 +57,8 @@
 		Start: s.startChat(c, req, deadline, place.PromptTokens),
 		Body:  body,
 		Place: place,
+
+		Stream: req.Stream,
 	}, c.sink)
 }
 
--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -189,7 +189,8 @@
 	})
 	n.router = router.New(router.Options{
 		SelfID: n.self.Id, Directory: n.directory, Loads: n.loads, Planner: n.planner(),
-		Local: n.home, Peers: n.peers, Config: n.adopter.Config, OnRetry: n.metrics.Retry,
+		Local: n.home, Peers: n.peers, Config: n.adopter.Config, Suspect: n.suspect,
+		OnRetry: n.metrics.Retry, OnHedge: observer{n.metrics}.Hedge,
 	})
 	n.executor = executor.New(executor.Options{
 		Self: holder, Ring: n.ring, Router: n.router, Peers: n.peers, MaxAnswerBytes: maxAnswerBytes,
@@ -220,6 +221,11 @@
 	return nil
 }
 
+// suspect reports whether a request may crash backend servers.
+func (n *Node) suspect(fingerprint uint64) bool {
+	return fingerprint != 0 && n.quarantine.Check(fingerprint) != quarantine.Clear
+}
+
 // planner returns the planner of the options or the default one.
 func (n *Node) planner() placement.Planner {
 	if n.opts.Planner != nil {
--- a/fleet/node/observer.go
+++ b/fleet/node/observer.go
@@ -38,3 +38,12 @@
 func (o observer) Outcome(workspace string, class dynamic.Class, result outcome.Outcome, code outcome.Code) {
 	o.metrics.Outcome(workspace, string(class), result, code)
 }
+
+// Hedge hears how a hedged request went; see router.Options.
+func (o observer) Hedge(won bool) {
+	if won {
+		o.metrics.Hedge(metric.HedgeWon)
+		return
+	}
+	o.metrics.Hedge(metric.HedgeLost)
+}
--- a/fleet/router/budget.go
+++ b/fleet/router/budget.go
@@ -14,6 +14,7 @@
 // budget bounds the further copies of requests for one service.
 type budget struct {
 	retries *retry.Budget
+	hedges  *retry.Budget
 }
 
 // budgets are the budgets of all services, as the configuration in force says.
@@ -24,28 +25,32 @@
 
 // of returns the budget of a service.
 func (b *budgets) of(service string, config *dynamic.Config) *budget {
-	ratio := retryRatio(service, config)
+	retries, hedges := ratios(service, config)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	known, ok := b.byService[service]
 	if !ok {
-		known = &budget{retries: retry.NewBudget(ratio, floor(ratio), nil)}
+		known = &budget{
+			retries: retry.NewBudget(retries, floor(retries), nil),
+			hedges:  retry.NewBudget(hedges, 0, nil),
+		}
 		b.byService[service] = known
 		return known
 	}
-	known.retries.Set(ratio, floor(ratio))
+	known.retries.Set(retries, floor(retries))
+	known.hedges.Set(hedges, 0)
 	return known
 }
 
-// retryRatio returns the retries of a service as a fraction of its fresh
-// requests.
-func retryRatio(service string, config *dynamic.Config) float64 {
+// ratios returns the retries and hedges of a service as fractions of its fresh
+// requests. Plain services are never hedged.
+func ratios(service string, config *dynamic.Config) (retries, hedges float64) {
 	if config != nil {
 		if model, ok := config.Models[service]; ok {
-			return model.RetryBudget
+			return model.RetryBudget, model.HedgeBudget
 		}
 	}
-	return dynamic.DefaultRetryBudget
+	return dynamic.DefaultRetryBudget, 0
 }
 
 // floor returns the retries a second that need no fresh requests.
--- a/fleet/router/router.go
+++ b/fleet/router/router.go
@@ -38,14 +38,17 @@
 	Planner   placement.Planner
 	Local     forward.Executor // the home of this daemon
 	Peers     Peers
-	Config    func() *dynamic.Config // in force, with the budgets; nil: defaults
-	OnRetry   func()                 // called for each further attempt; nil: not called
+	Config    func() *dynamic.Config        // in force, with the budgets; nil: defaults
+	Suspect   func(fingerprint uint64) bool // of crashing backend servers; nil: none is
+	OnRetry   func()                        // called for each further attempt; nil: not called
+	OnHedge   func(won bool)                // called after each hedged request; nil: not called
 }
 
 // Router places requests. It is safe for concurrent use.
 type Router struct {
-	opts    Options
-	budgets budgets
+	opts        Options
+	budgets     budgets
+	firstTokens firstTokens
 }
 
 // New returns a Router.
@@ -53,7 +56,11 @@
 	if opts.Config == nil {
 		opts.Config = func() *dynamic.Config { return nil }
 	}
-	return &Router{opts: opts, budgets: budgets{byService: make(map[string]*budget)}}
+	return &Router{
+		opts:        opts,
+		budgets:     budgets{byService: make(map[string]*budget)},
+		firstTokens: firstTokens{now: time.Now, kinds: make(map[kind]*observed)},
+	}
 }
 
 // Request is a request to place.
@@ -61,15 +68,15 @@
 	Start *peerpb.ForwardStart // all but the backend server
 	Body  []byte
 	Place placement.Request
+
+	Stream bool // the answer comes token by token
 }
 
 // Route runs a request on a backend server of its service.
 func (r *Router) Route(ctx context.Context, req Request, sink forward.Sink) error {
-	attempt := &attempt{
-		router: r, req: req, sink: &startedSink{Sink: sink}, excluded: make(map[string]bool),
-		budget: r.budgets.of(req.Start.Service, r.opts.Config()),
-	}
+	attempt := r.newAttempt(req, sink)
 	attempt.budget.retries.Fresh()
+	attempt.budget.hedges.Fresh()
 	var last error
 	for range maxAttempts {
 		choice, ok := attempt.plan()
@@ -84,7 +91,6 @@
 		if !attempt.again(ctx, err) {
 			return err
 		}
-		attempt.excluded[choice.Backend] = true
 		if r.opts.OnRetry != nil {
 			r.opts.OnRetry()
 		}
@@ -104,6 +110,19 @@
 	excluded map[string]bool
 }
 
+// newAttempt returns the work on a request.
+func (r *Router) newAttempt(req Request, sink forward.Sink) *attempt {
+	k := kind{service: req.Start.Service, class: req.Start.Class, stream: req.Stream}
+	began := time.Now()
+	return &attempt{
+		router:   r,
+		req:      req,
+		sink:     &startedSink{Sink: sink, onData: func() { r.firstTokens.add(k, time.Since(began)) }},
+		budget:   r.budgets.of(req.Start.Service, r.opts.Config()),
+		excluded: make(map[string]bool),
+	}
+}
+
 // plan returns the best backend server that has not refused.
 func (a *attempt) plan() (placement.Choice, bool) {
 	place := a.req.Place
@@ -115,15 +134,28 @@
 	return choices[0], true
 }
 
-// run hands the request to the home of a backend server.
+// run runs the request on a backend server, with a hedge where that may help.
 func (a *attempt) run(ctx context.Context, choice placement.Choice) error {
+	k := kind{service: a.req.Start.Service, class: a.req.Start.Class, stream: a.req.Stream}
+	delay, known := a.router.firstTokens.delay(k)
+	a.excluded[choice.Backend] = true
+	if known && a.hedgeable() {
+		return a.runHedged(ctx, choice, delay)
+	}
+	return a.execute(ctx, choice, 0, a.sink)
+}
+
+// execute hands the request to the home of a backend server. It has waited that
+// long already.
+func (a *attempt) execute(ctx context.Context, choice placement.Choice, waited time.Duration, sink forward.Sink) error {
 	start := cloneStart(a.req.Start)
 	start.Backend = choice.Backend
+	start.DeadlineMs -= min(start.DeadlineMs, uint32(waited.Milliseconds()))
 	executor, err := a.router.homeOf(choice.Backend)
 	if err != nil {
 		return err
 	}
-	return executor.Execute(ctx, start, a.req.Body, a.sink)
+	return executor.Execute(ctx, start, a.req.Body, sink)
 }
 
 // again reports whether the request may be tried on another backend server: a
@@ -195,6 +227,8 @@
 type startedSink struct {
 	forward.Sink
 	started bool
+	data    bool
+	onData  func() // called at the first data; nil: not called
 }
 
 // Head implements forward.Sink.
@@ -203,6 +237,15 @@
 	return s.Sink.Head(head)
 }
 
+// Data implements forward.Sink.
+func (s *startedSink) Data(p []byte) error {
+	if !s.data && s.onData != nil {
+		s.onData()
+	}
+	s.data = true
+	return s.Sink.Data(p)
+}
+
 // cloneStart copies a start, so that attempts do not share a message.
 func cloneStart(start *peerpb.ForwardStart) *peerpb.ForwardStart {
 	return &peerpb.ForwardStart{
