--- a/fleet/node/status.go
+++ b/fleet/node/status.go
@@ -31,6 +31,8 @@
 		Backends:    n.backendStatus(),
 		Quarantined: n.quarantineStatus(),
 		Control:     n.meter.Snapshot(),
+
+		WarmPrefixes: n.index.Len(),
 	}
 }
 
--- a/wire/engineapi/engineapi.go
+++ b/wire/engineapi/engineapi.go
@@ -11,6 +11,10 @@
 // A stream is a sequence of "data: {StreamEvent}" events and ends with
 // "data: [DONE]"; anything else is a truncated answer. Closing the connection
 // cancels the work.
+//
+// Cache events and selectors name a prefix by xxhash64 over the role, 0x1f, the
+// content and 0x1e of each of its messages. The model is no part of it. The
+// numbers of events start anew with each process instance.
 package engineapi
 
 // Request headers that engines honour.
