--- a/fleet/heartbeat/handler.go
+++ b/fleet/heartbeat/handler.go
@@ -14,7 +14,6 @@
 	"cassialatch.dev/fleet/lease"
 	"cassialatch.dev/fleet/member"
 	"cassialatch.dev/fleet/quarantine"
-	"cassialatch.dev/fleet/warm"
 	"cassialatch.dev/wire/peerpb"
 	"cassialatch.dev/wire/platformapi"
 )
@@ -40,9 +39,6 @@
 	Home       *home.Home
 	Quarantine *quarantine.Table
 	Tickets    Voider
-	Changes    *warm.Log // cache events of the engines homed here
-	Index      *warm.Index
-	AllowRelay func(bytes int) bool // whether the budget has room for cache events
 	Peers      Caller
 	Seeds      []string // peer addresses tried besides the VM list
 	Interval   time.Duration
@@ -69,7 +65,6 @@
 	x.opts.Directory.Heard(req.From, req.Draining)
 	x.opts.Home.Learn(req.Loads)
 	x.opts.Quarantine.Import(req.Quarantined)
-	x.opts.Index.Apply(req.CacheChanges)
 	holder := lease.Holder{ID: req.From.Id, Incarnation: req.From.Incarnation}
 	for _, backend := range req.Released {
 		x.opts.Lender.Release(backend, holder)
--- a/fleet/heartbeat/sender.go
+++ b/fleet/heartbeat/sender.go
@@ -7,15 +7,10 @@
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"cassialatch.dev/fleet/placement"
 	"cassialatch.dev/wire/peerpb"
 )
 
-// maxCacheChanges bounds the cache changes in one message.
-const maxCacheChanges = 256
-
 // callTimeout bounds one heartbeat, beyond its interval.
 const callTimeout = time.Second
 
@@ -109,73 +104,51 @@
 	return chosen
 }
 
-// recipient is what is known of the peer that heartbeats go to.
-type recipient struct {
-	id    string // empty until it has answered
-	seq   uint64 // of the latest heartbeat
-	cache uint64 // position in the log of cache changes that it has heard
-}
-
 // follow sends heartbeats to one address until ctx ends.
 func (x *Exchange) follow(ctx context.Context, address string) {
-	var to recipient
+	var seq uint64
+	var peerID string
 	for ctx.Err() == nil {
-		to.seq++
-		x.beat(ctx, address, &to)
+		seq++
+		id, err := x.beat(ctx, address, peerID, seq)
+		if err == nil {
+			peerID = id
+		}
 		x.asked.note(address)
 		sleep(ctx, x.opts.Interval*3/4+rand.N(x.opts.Interval/2))
 	}
 }
 
-// beat sends one heartbeat. Claims go only to a peer whose id is known.
-func (x *Exchange) beat(ctx context.Context, address string, to *recipient) {
-	changes, cache := x.cacheChanges(to.cache)
+// beat sends one heartbeat and returns the peer's id. Claims go only to a peer
+// whose id is known.
+func (x *Exchange) beat(ctx context.Context, address, peerID string, seq uint64) (string, error) {
 	req := &peerpb.HeartbeatRequest{
 		From:        x.opts.Self,
-		Seq:         to.seq,
+		Seq:         seq,
 		Draining:    x.opts.Directory.Draining(),
-		Claims:      x.opts.Home.Claims(to.id),
+		Claims:      x.opts.Home.Claims(peerID),
 		Loads:       x.opts.Home.Loads(),
 		Quarantined: x.opts.Quarantine.Export(maxQuarantined),
 		Documents:   x.versions(),
 		Released:    x.opts.Home.Released(),
-
-		CacheChanges: changes,
 	}
 	for _, backend := range req.Released {
 		// From here on the peer may lend its share to another holder.
-		x.opts.Shares.Refused(backend, to.id)
+		x.opts.Shares.Refused(backend, peerID)
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sent := x.opts.Now()
 	resp, err := x.opts.Peers.Heartbeat(callCtx, address, req)
 	if err != nil {
-		return
+		return "", err
 	}
-	to.id, to.cache = resp.From.Id, cache
 	x.opts.Directory.Heard(resp.From, resp.Draining)
 	x.opts.Home.Learn(resp.Loads)
 	x.opts.Quarantine.Import(resp.Quarantined)
 	x.noteGrants(resp, sent)
 	x.fetchNewer(ctx, address, resp.Documents)
-}
-
-// cacheChanges returns the newest cache changes after a position, if the budget
-// has room for them, and the position after them.
-func (x *Exchange) cacheChanges(position uint64) ([]*peerpb.CacheChanges, uint64) {
-	changes, next := x.opts.Changes.Since(position, maxCacheChanges)
-	if len(changes) == 0 {
-		return nil, next
-	}
-	size := 0
-	for _, change := range changes {
-		size += proto.Size(change)
-	}
-	if !x.opts.AllowRelay(size) {
-		return nil, position
-	}
-	return changes, next
+	return resp.From.Id, nil
 }
 
 // noteGrants counts the shares that a peer lent or refused.
--- a/fleet/home/home.go
+++ b/fleet/home/home.go
@@ -34,14 +34,10 @@
 	Quarantine *quarantine.Table
 	Stragglers *straggler.Set
 	Client     *backend.Client
-	Cache      CacheObserver // of the engines that this daemon is home of
-	// AllowCacheRead reports whether the budget of control traffic has room for
-	// a read of cache events.
-	AllowCacheRead func(bytes int) bool
-	Config         func() *dynamic.Config // in force; nil before the first
-	Now            func() time.Time
-	Observer       Observer
-	Log            zerolog.Logger
+	Config     func() *dynamic.Config // in force; nil before the first
+	Now        func() time.Time
+	Observer   Observer
+	Log        zerolog.Logger
 }
 
 // releaseRepeat is how long a release is repeated to lenders.
@@ -123,22 +119,19 @@
 	}
 	switch {
 	case mine && !n.homed.Load():
-		h.takeOverLocked(n, r)
+		h.takeOverLocked(n)
 	case !mine && n.homed.Load():
 		h.giveUpLocked(n)
 	}
 }
 
 // takeOverLocked starts to serve a backend server. The caller holds h.mu.
-func (h *Home) takeOverLocked(n *runner, r rules) {
+func (h *Home) takeOverLocked(n *runner) {
 	n.external.forget()
 	n.homed.Store(true)
 	ctx, cancel := context.WithCancel(h.ctx)
 	n.stop = cancel
 	h.polls.Go(func() { n.poll(ctx) })
-	if r.model {
-		h.polls.Go(func() { n.followCache(ctx) })
-	}
 }
 
 // giveUpLocked stops admitting to a backend server and returns its shares.
--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -46,7 +46,6 @@
 const (
 	loadKeep        = 5 * time.Second // load figures are forgotten after this
 	indexEntries    = 200_000         // warm prefixes remembered
-	changeEntries   = 1024            // cache changes kept for peers
 	bookEntries     = 100_000         // tickets remembered
 	maxAnswerBytes  = 256 << 10       // of one answer kept for resends
 	maxAnswersBytes = 32 << 20        // of all of them
@@ -81,7 +80,6 @@
 	quarantine *quarantine.Table
 	stragglers *straggler.Set
 	index      *warm.Index
-	changes    *warm.Log
 	limiter    *limit.Limiter
 	metrics    *metric.Metrics
 	meter      *traffic.Meter
@@ -174,7 +172,6 @@
 	n.quarantine = quarantine.New(quarantine.Options{}, n.now)
 	n.stragglers = straggler.NewSet(straggler.Options{}, n.now)
 	n.index = warm.New(indexEntries)
-	n.changes = warm.NewLog(n.index, changeEntries)
 	n.limiter = limit.New(limit.Options{})
 	return nil
 }
@@ -187,9 +184,8 @@
 	holder := lease.Holder{ID: n.self.Id, Incarnation: n.self.Incarnation}
 	n.home = home.New(n.ctx, home.Options{
 		Self: holder, Directory: n.directory, Lender: n.lender, Shares: n.shares, Loads: n.loads,
-		Quarantine: n.quarantine, Stragglers: n.stragglers, Client: n.client, Cache: n.changes,
-		AllowCacheRead: func(bytes int) bool { return n.meter.Allow(traffic.KindCache, bytes) },
-		Config:         n.adopter.Config, Now: n.now, Observer: observer{n.metrics}, Log: n.log,
+		Quarantine: n.quarantine, Stragglers: n.stragglers, Client: n.client,
+		Config: n.adopter.Config, Now: n.now, Observer: observer{n.metrics}, Log: n.log,
 	})
 	n.router = router.New(router.Options{
 		SelfID: n.self.Id, Directory: n.directory, Loads: n.loads, Planner: n.planner(),
@@ -206,9 +202,7 @@
 	n.exchange = heartbeat.New(heartbeat.Options{
 		Self: n.self, Directory: n.directory, Adopter: n.adopter, Lender: n.lender, Shares: n.shares,
 		Home: n.home, Quarantine: n.quarantine, Tickets: n.executor,
-		Changes: n.changes, Index: n.index,
-		AllowRelay: func(bytes int) bool { return n.meter.Allow(traffic.KindRelay, bytes) },
-		Peers:      caller{n.control, n.peers}, Seeds: n.settings.Control.Seeds,
+		Peers: caller{n.control, n.peers}, Seeds: n.settings.Control.Seeds,
 		Interval: n.settings.Control.Heartbeat, MaxPeers: n.settings.Control.MaxPeers,
 		Now: n.now, Log: n.log,
 	})
--- a/fleet/node/status.go
+++ b/fleet/node/status.go
@@ -31,8 +31,6 @@
 		Backends:    n.backendStatus(),
 		Quarantined: n.quarantineStatus(),
 		Control:     n.meter.Snapshot(),
-
-		WarmPrefixes: n.index.Len(),
 	}
 }
 
--- a/fleet/traffic/kind.go
+++ b/fleet/traffic/kind.go
@@ -18,13 +18,9 @@
 	KindLease      Kind = "lease"      // claims, grants and releases of shares
 	KindLoad       Kind = "load"       // a home's own load entries
 	KindDocument   Kind = "document"   // configuration documents
-	KindRelay      Kind = "relay"      // load entries of other homes and cache events, passed on
+	KindRelay      Kind = "relay"      // load entries of other homes, passed on
 )
 
-// KindCache is the kind of reads of engines' cache events, over the
-// connections of load reports.
-const KindCache Kind = "cache"
-
 // never is the rank of items that never yield.
 const never = 0
 
@@ -38,8 +34,7 @@
 
 // rules are in the order of Snapshot. Quarantine and leases never yield: they
 // hold the rules on crashes and load that cost most when broken. Relayed
-// entries are hints about hints and go first, after cache events, which only
-// save the computation of a prefix. Probes go next, since real
+// entries are hints about hints and go first. Probes go next, since real
 // traffic probes too; then the platform, since peers pass documents on; then
 // reports, which lag anyway.
 var rules = []rule{
@@ -52,10 +47,9 @@
 	{KindPlatform, KindPlatform, 4},
 	{KindProbe, KindProbe, 5},
 	{KindRelay, KindPeer, 6},
-	{KindCache, KindReport, 7},
 }
 
-const highestRank = 7
+const highestRank = 6
 
 // reserve returns the part of the burst that items of this rank leave to those
 // that yield later: nothing for rank 1, three quarters for the highest rank.
--- a/wire/operatorapi/operatorapi.go
+++ b/wire/operatorapi/operatorapi.go
@@ -32,8 +32,6 @@
 	Backends    []Backend    `json:"backends"`
 	Quarantined []Quarantine `json:"quarantined"`
 	Control     []Traffic    `json:"control"`
-
-	WarmPrefixes int `json:"warm_prefixes"` // prompt prefixes that the daemon knows a holder of
 }
 
 // Platform tells how the platform answers this daemon.
