order: engines that do not check get their orders again

Cause: order.pml: without a fence an old order from a daemon that was paused may reach an engine last, and one that is sent once for each version is never corrected. Change: such engines get their orders again each 30 s; checking ones need not. Before: TestUncheckedEngineGetsItsOrdersAgain said 2 != 3 (no repeat in the code). After: green. Conclusion: an unchecked engine ends with the newest orders; in between an old one may hold for 30 s.

--- a/fleet/order/order.go
+++ b/fleet/order/order.go
@@ -88,10 +88,16 @@
 	Log    zerolog.Logger
 }
 
-// done is what an engine was ordered last.
+// repeatInterval is the time after which an engine that does not check fencing
+// numbers gets its orders again: an old order from a daemon that was paused may
+// have reached it last.
+const repeatInterval = 30 * time.Second
+
+// done is what an engine was ordered last, and when.
 type done struct {
 	version  uint64
 	instance string
+	at       time.Time
 }
 
 // Orderer sends orders to the engines that this daemon is home of.
@@ -123,16 +129,26 @@
 		return
 	}
 	for _, engine := range o.opts.Homes.Engines() {
-		due := done{version: config.BaseVersion, instance: engine.Instance}
-		if o.done[engine.ID] == due {
+		if !o.due(config, engine) {
 			continue
 		}
 		if err := o.Send(ctx, engine); err != nil {
 			o.opts.Log.Warn().Err(err).Str("backend", engine.ID).Msg("orders not accepted")
 			continue
 		}
-		o.done[engine.ID] = due
+		o.done[engine.ID] = done{version: config.BaseVersion, instance: engine.Instance, at: o.opts.Now()}
+	}
+}
+
+// due reports whether an engine is to get its orders.
+func (o *Orderer) due(config *dynamic.Config, engine Engine) bool {
+	last := o.done[engine.ID]
+	if last.version != config.BaseVersion || last.instance != engine.Instance {
+		return true
 	}
+	model, known := config.Models[engine.Model]
+	unchecked := known && !model.ChecksFence
+	return unchecked && o.opts.Now().Sub(last.at) >= repeatInterval
 }
 
 // Send sends one engine its orders. It looks at the configuration anew before
--- a/fleet/order/order_test.go
+++ b/fleet/order/order_test.go
@@ -125,6 +125,26 @@
 	is.Equal(engine.fence, uint64(4))
 }
 
+// TestUncheckedEngineGetsItsOrdersAgain: an old order may have come last.
+func TestUncheckedEngineGetsItsOrdersAgain(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000_000, 0)
+	engine := &engineFake{}
+	config := configOf(3, false)
+	o := New(Options{
+		Config: func() *dynamic.Config { return config },
+		Homes:  &homes{engine: Engine{ID: "e", Model: "m", Instance: "first"}, majority: true},
+		Client: engine, Now: func() time.Time { return now }, Log: zerolog.Nop(),
+	})
+	o.sendDue(t.Context())
+	is.NoErr(engine.Order(t.Context(), "", engineapi.Order{Fence: 2})) // from a daemon that was paused
+	o.sendDue(t.Context())
+	is.Equal(engine.fence, uint64(2)) // not yet
+	now = now.Add(repeatInterval)
+	o.sendDue(t.Context())
+	is.Equal(engine.fence, uint64(3))
+}
+
 // TestOrdersAfterThePauseAreOfTheNewConfiguration pauses between two orders.
 func TestOrdersAfterThePauseAreOfTheNewConfiguration(t *testing.T) {
 	is := is.New(t)
