fleet/backend: an unfinished line of a cut stream is not passed on

Cause: the daemon's error event was appended to the half line with which a backend server had died, so that a caller could read neither. Change: a stream that ends without its end mark is passed on up to its last whole line. A line longer than the buffer still goes out in parts. Before/after: TestUnfinishedLineOfACutStreamIsNotPassedOn said `data: {"half != data: {}`; passes now, as does an end mark without a newline.

--- a/fleet/backend/relay.go
+++ b/fleet/backend/relay.go
@@ -87,6 +87,9 @@
 			out.result.noteEvent(line)
 		}
 		begins = !errors.Is(err, bufio.ErrBufferFull)
+		if err != nil && begins && !done { // cut: an unfinished line is of no use
+			pending = pending[:bytes.LastIndexByte(pending, '\n')+1]
+		}
 		if len(pending) > 0 && (err != nil || in.Buffered() == 0 || len(pending) >= responseBufferLen) {
 			if _, werr := out.Write(pending); werr != nil {
 				return cutFailure(ctx, out, werr)
--- a/tests/invariant/whole_answer_test.go
+++ b/tests/invariant/whole_answer_test.go
@@ -178,6 +178,38 @@
 	}
 }
 
+// kept is a backend.Sink that keeps the data.
+type kept struct {
+	blind
+	data strings.Builder
+}
+
+func (k *kept) Data(p []byte) error { k.data.Write(p); return nil }
+
+func TestUnfinishedLineOfACutStreamIsNotPassedOn(t *testing.T) {
+	for _, c := range []struct {
+		sent, passed string
+		want         outcome.Code // empty: whole
+	}{
+		{"data: {}\n\ndata: {\"half", "data: {}\n\n", outcome.CodeTruncated}, // an error event can follow
+		{"data: {}\n\ndata: [DONE]", "data: {}\n\ndata: [DONE]", ""},
+	} {
+		is := is.New(t)
+		server := newRawServer(t, func(conn net.Conn, in *bufio.Reader) {
+			if _, err := http.ReadRequest(in); err == nil {
+				fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"+c.sent)
+			}
+		})
+		client := backend.NewClient()
+		sink := &kept{}
+		_, err := client.Do(context.Background(), backend.Call{Address: server.Addr().String(), Method: "GET", Path: "/"}, sink)
+		client.Close()
+		is.Equal(err == nil, c.want == "")
+		is.True(err == nil || outcome.From(err).Code == c.want)
+		is.Equal(sink.data.String(), c.passed)
+	}
+}
+
 func TestCutStreamNeverEndsClean(t *testing.T) {
 	t.Parallel()
 	f := harness.Start(t, harness.Options{Daemons: 3, Engines: 2})
