--- a/fleet/backend/relay.go
+++ b/fleet/backend/relay.go
@@ -107,6 +107,10 @@
 		line, err := in.ReadSlice('\n')
 		pending = append(pending, line...)
 		lines.note(line, err == nil)
+		more := err == nil || errors.Is(err, bufio.ErrBufferFull)
+		if !more && !lines.done { // cut: an unfinished line is of no use
+			pending = pending[:bytes.LastIndexByte(pending, '\n')+1]
+		}
 		if len(pending) > 0 && (err != nil || in.Buffered() == 0 || len(pending) >= streamBufferLen) {
 			if _, werr := out.Write(pending); werr != nil {
 				return cutFailure(ctx, out, werr)
@@ -114,7 +118,7 @@
 			pending = pending[:0]
 		}
 		switch {
-		case err == nil || errors.Is(err, bufio.ErrBufferFull):
+		case more:
 		case errors.Is(err, io.EOF) && lines.done:
 			return nil
 		default:
