--- a/tests/invariant/whole_answer_test.go
+++ b/tests/invariant/whole_answer_test.go
@@ -200,7 +200,7 @@
 				fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"+c.sent)
 			}
 		})
-		client := backend.NewClient()
+		client := backend.NewClient(nil)
 		sink := &kept{}
 		_, err := client.Do(context.Background(), backend.Call{Address: server.Addr().String(), Method: "GET", Path: "/"}, sink)
 		client.Close()
