lease, home: a share counts once a report has been made after it was gained

Cause: a home that was paused kept what it knew of others' work on a server; when its shares were lent to it again it admitted the whole limit beside the work that the interim home still had there, until its next report, which may itself be of before the pause. A full run of tests/process showed an engine's peak above the limit once (TestLoadStaysBoundedWhenAHomeFails/paused). Ruled out: an account of others alone, which the paused home has not heard. Change: Shares remember since when each is held without a gap; a home admits under those gained before its latest report was made. All that an earlier holder admitted is in that report. The cost is a report's lag and interval at each change of home.

--- a/fleet/home/runner.go
+++ b/fleet/home/runner.go
@@ -65,12 +65,13 @@
 	queue   *admission.Queue
 	history *history
 
-	limit    atomic.Int64           // of the whole fleet's work on the server
-	external atomic.Int64           // work on the server that others admitted
-	homed    atomic.Bool            // this daemon takes itself for the home
-	listed   atomic.Bool            // the VM list says that it is leaving
-	left     atomic.Pointer[string] // process instance that said that it is leaving
-	reported atomic.Bool            // a report, or the lack of any, is known
+	limit    atomic.Int64              // of the whole fleet's work on the server
+	external atomic.Int64              // work on the server that others admitted
+	homed    atomic.Bool               // this daemon takes itself for the home
+	listed   atomic.Bool               // the VM list says that it is leaving
+	left     atomic.Pointer[string]    // process instance that said that it is leaving
+	reported atomic.Bool               // a report, or the lack of any, is known
+	looked   atomic.Pointer[time.Time] // when the latest report was made
 	misses   atomic.Int64
 	instance atomic.Pointer[string]
 
@@ -98,7 +99,11 @@
 		return 0
 	}
 	limit := int(n.limit.Load())
-	lent := n.home.opts.Shares.Fraction(n.vm.ID).Of(limit)
+	looked := n.looked.Load()
+	if looked == nil {
+		return 0
+	}
+	lent := n.home.opts.Shares.FractionSince(n.vm.ID, *looked).Of(limit)
 	return min(lent, limit-int(n.external.Load()))
 }
 
@@ -134,11 +139,15 @@
 func (n *runner) readReport(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
+	sent := n.home.opts.Now()
 	report, err := n.home.opts.Client.Report(ctx, n.vm.Address)
 	switch {
 	case err == nil:
 		n.apply(report)
+		made := sent.Add(-time.Duration(report.AgeMs) * time.Millisecond)
+		n.looked.Store(&made)
 	case backend.IsStatus(err): // a plain service without reports
+		n.looked.Store(&sent)
 		n.misses.Store(0)
 		n.reported.Store(true)
 	case ctx.Err() != nil && n.home.ctx.Err() != nil:
--- a/fleet/lease/shares.go
+++ b/fleet/lease/shares.go
@@ -12,6 +12,7 @@
 // share is one lender's share as its holder counts it.
 type share struct {
 	until     time.Time
+	gained    time.Time // since when it is held without a gap
 	groupSize int
 }
 
@@ -43,7 +44,12 @@
 		of = make(map[string]share)
 		s.shares[backend] = of
 	}
-	of[lender] = share{until: claimSent.Add(duration - margin), groupSize: groupSize}
+	now := s.now()
+	next := share{until: claimSent.Add(duration - margin), gained: now, groupSize: groupSize}
+	if held, ok := of[lender]; ok && now.Before(held.until) {
+		next.gained = held.gained
+	}
+	of[lender] = next
 }
 
 // Refused forgets a lender's share: the lender does not lend it any longer.
@@ -57,12 +63,24 @@
 // between 0 and 1. It reads the clock at each call, so that a process that
 // was paused does not use a lease that ended meanwhile.
 func (s *Shares) Fraction(backend string) Fraction {
+	return s.fraction(backend, func(share) bool { return true })
+}
+
+// FractionSince is Fraction without the shares that were gained after a time.
+// What an earlier holder admitted under a share is seen by whoever looks at
+// the backend server after the share was gained, not before.
+func (s *Shares) FractionSince(backend string, looked time.Time) Fraction {
+	return s.fraction(backend, func(sh share) bool { return !sh.gained.After(looked) })
+}
+
+// fraction sums up the valid shares that count.
+func (s *Shares) fraction(backend string, counts func(share) bool) Fraction {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
 	f := Fraction{}
 	for _, sh := range s.shares[backend] {
-		if now.Before(sh.until) {
+		if now.Before(sh.until) && counts(sh) {
 			f.Lenders++
 			f.Part += 1 / float64(sh.groupSize)
 		}
