home: an empty account tells that a former home has nothing left

Change: a home repeats an empty account for 3 s after it gave a server up; it does not replace the limit that the present home tells.

--- a/fleet/home/home.go
+++ b/fleet/home/home.go
@@ -303,7 +303,7 @@
 	var loads []*peerpb.BackendLoad
 	for _, n := range h.all() {
 		counts := n.queue.Counts()
-		if !n.homed.Load() && counts.InFlight == 0 {
+		if !n.homed.Load() && counts.InFlight == 0 && !h.justReleased(n.vm.ID) {
 			continue
 		}
 		loads = append(loads, &peerpb.BackendLoad{
@@ -321,6 +321,15 @@
 	return loads
 }
 
+// justReleased reports whether a backend server was given up of late. Others
+// are told by an empty account that nothing is left of its work.
+func (h *Home) justReleased(id string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at, ok := h.released[id]
+	return ok && h.opts.Now().Sub(at) <= releaseRepeat
+}
+
 // Engines returns the model engines that this daemon is home of; see package
 // order.
 func (h *Home) Engines() []order.Engine {
--- a/fleet/loadtable/loadtable.go
+++ b/fleet/loadtable/loadtable.go
@@ -130,7 +130,9 @@
 	s.InFlight += int(e.Load.InFlight)
 	s.Queued += int(e.Load.Queued)
 	s.Leaving = s.Leaving || e.Load.Leaving
-	if !s.Known || e.At.After(s.At) {
+	// An empty account without a limit is a former home's last word.
+	former := e.Load.Limit == 0 && e.Load.InFlight == 0 && e.Load.Queued == 0
+	if !s.Known || e.At.After(s.At) && !former || s.Limit == 0 && e.Load.Limit > 0 {
 		s.Known = true
 		s.At = e.At
 		s.Limit = int(e.Load.Limit)
