placement: short work looks past queues of longer work

Cause: with long work on every engine all of them counted as full, and short work was sent to the shorter queue of two, although it passes those queues.

Ruled out: a longer reserve. The slots were free, only elsewhere. Ruled out for now: loads by class in the heartbeat, which changes the protocol.

Change: for short work a backend server is open while less is in flight than its bound, and the lighter of two is judged by what is in flight. The weighing of a warm queue against prefill stays as it is.

Short work still meets at a slot that looked free a heartbeat ago.

--- a/fleet/placement/placement_test.go
+++ b/fleet/placement/placement_test.go
@@ -184,3 +184,19 @@
 		})
 	}
 }
+
+func TestShortWorkPassesTheQueueOfLongerWork(t *testing.T) {
+	is := is.New(t)
+	candidates := pool(10)
+	for i := range candidates {
+		candidates[i].InFlight = 8
+		candidates[i].Queued = 1
+	}
+	candidates[4].InFlight = 7 // a slot of short work is free
+	candidates[4].Queued = 20  // of longer work
+
+	short := NewPlanner(Options{}).Plan(Request{Class: dynamic.ClassShort}, candidates)
+	is.Equal(short[0], Choice{"runner-4", ReasonLeastLoaded})
+	long := NewPlanner(Options{}).Plan(Request{Class: dynamic.ClassLong}, candidates)
+	is.Equal(long[0].Reason, ReasonLastResort)
+}
--- a/fleet/placement/planner.go
+++ b/fleet/placement/planner.go
@@ -111,17 +111,17 @@
 	}
 	// A draw may repeat a choice; a few more draws than free places suffice.
 	for draws := 2 * p.MaxChoices; draws > 0 && !plan.full(); draws-- {
-		plan.add(p.lighterOfTwo(pool).Backend, reason)
+		plan.add(p.lighterOfTwo(s, pool).Backend, reason)
 	}
 }
 
-func (p *planner) lighterOfTwo(pool []*Candidate) *Candidate {
+func (p *planner) lighterOfTwo(s *survey, pool []*Candidate) *Candidate {
 	a := pool[p.IntN(len(pool))]
 	if len(pool) == 1 {
 		return a
 	}
 	b := pool[p.IntN(len(pool))]
-	if b.relativeLoad() < a.relativeLoad() {
+	if s.load(b) < s.load(a) {
 		return b
 	}
 	return a
@@ -149,6 +149,7 @@
 	first         rendezvous                    // highest of all
 	ordered       [rendezvousChoices]rendezvous // highest of the open ones, in order
 	hasKey        bool
+	short         bool
 }
 
 type rendezvous struct {
@@ -160,6 +161,7 @@
 	s := &survey{
 		minWait: math.MaxInt64,
 		hasKey:  r.ChatKey != "",
+		short:   r.Class == dynamic.ClassShort,
 		open:    make([]*Candidate, 0, len(candidates)),
 	}
 	keyHash := xxhash.Sum64String(r.ChatKey)
@@ -177,6 +179,24 @@
 	return s
 }
 
+// isOpen tells whether a candidate takes the request at once. Short work passes
+// the queue of longer work and has slots of its own, so that only what is in
+// flight stands in its way.
+func (s *survey) isOpen(c *Candidate) bool {
+	return c.open() || s.short && float64(c.InFlight) < c.bound()
+}
+
+// load is the relative load as the request meets it. The queues of longer work
+// would draw all short work to the same few backend servers.
+func (s *survey) load(c *Candidate) float64 {
+	if !s.short {
+		return c.relativeLoad()
+	}
+	passed := *c
+	passed.Queued = 0
+	return passed.relativeLoad()
+}
+
 func (s *survey) note(r Request, c *Candidate) {
 	if c.Backend == r.Warm {
 		s.warm = c
@@ -184,7 +204,7 @@
 	if c.Backend == r.Indexed {
 		s.indexed = c
 	}
-	if c.open() {
+	if s.isOpen(c) {
 		s.open = append(s.open, c)
 	} else {
 		s.full = append(s.full, c)
@@ -197,7 +217,7 @@
 	if s.first.candidate == nil || s.first.score < score {
 		s.first = entry
 	}
-	if !c.open() {
+	if !s.isOpen(c) {
 		return
 	}
 	for i := range s.ordered {
