placement, home, node: the planner learns how long engines take

Cause: the planner weighs a warm engine's queue against the prefill that it saves, with 4 s a request and 250 us a prompt token whatever the engines do. Where answers take half a second it left warm engines far too soon.

Change: each home learns both times from its whole answers and its daemon's planner uses them; a daemon that has seen no answer keeps the defaults.

--- a/bench/cmd/bench-daemon/main.go
+++ b/bench/cmd/bench-daemon/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -24,6 +25,7 @@
 func planners() map[string]placement.Planner {
 	return map[string]placement.Planner{
 		"ours":            nil,
+		"ours-fitted":     fittedPlanner(),
 		"round-robin":     &placement.RoundRobin{},
 		"random":          placement.Random{},
 		"least-loaded":    placement.LeastLoaded{},
@@ -32,9 +34,17 @@
 	}
 }
 
+// fittedPlanner returns the daemon's planner with the times that the engines of
+// policy-bench have, in place of the defaults.
+func fittedPlanner() placement.Planner {
+	return placement.NewPlanner(placement.Options{
+		PrefillPerToken: 500 * time.Microsecond, MeanService: 500 * time.Millisecond,
+	})
+}
+
 func main() {
 	file := flag.String("config", "", "settings `file` (TOML)")
-	name := flag.String("planner", "ours", "ours, round-robin, random, least-loaded, consistent-hash or random-top-3")
+	name := flag.String("planner", "ours", "ours, ours-fitted, round-robin, random, least-loaded, consistent-hash or random-top-3")
 	flag.Parse()
 	planner, known := planners()[*name]
 	if !known {
--- a/bench/cmd/policy-bench/fleet.go
+++ b/bench/cmd/policy-bench/fleet.go
@@ -53,7 +53,8 @@
 // workspaceName returns the name of a workspace.
 func workspaceName(i int) string { return fmt.Sprintf("workspace-%d", i) }
 
-// base returns the base document.
+// base returns the base document. Callers may name a less urgent class than
+// their workspace has, never a more urgent one, so all workspaces are short.
 func base() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, `[models.%s]
@@ -70,7 +71,7 @@
 deadline = "10s"
 `, fleetproc.Model, slots, fleetproc.Service)
 	for i := range workspaces {
-		fmt.Fprintf(&b, "\n[workspaces.%s]\nmodels = [%q]\nservices = [%q]\nclass = \"chat\"\n",
+		fmt.Fprintf(&b, "\n[workspaces.%s]\nmodels = [%q]\nservices = [%q]\nclass = \"short\"\n",
 			workspaceName(i), fleetproc.Model, fleetproc.Service)
 	}
 	return b.String()
--- a/bench/cmd/policy-bench/measures.go
+++ b/bench/cmd/policy-bench/measures.go
@@ -129,6 +129,8 @@
 		{"short first token p95, full over idle", quantile(full.first, 95) / quantile(idle.first, 95), "times"},
 		{"short first token p95, idle", quantile(idle.first, 95), "ms"},
 		{"short first token p95, full", quantile(full.first, 95), "ms"},
+		{"short first token p50, full", quantile(full.first, 50), "ms"},
+		{"short retries, full", 100 * float64(full.retry) / float64(max(1, full.sent)), "% of requests"},
 		{"short not answered, full", 100 * float64(full.sent-full.answered) / float64(max(1, full.sent)), "% of requests"},
 		{"long answers", float64(long.answered), "answers"},
 	}, nil
--- a/fleet/home/execute.go
+++ b/fleet/home/execute.go
@@ -110,6 +110,7 @@
 	}
 	perToken := (result.LastData - result.FirstData) / time.Duration(result.Events-1)
 	uncached := result.Usage.PromptTokens - result.Usage.CachedTokens
+	n.home.opts.Times.Observe(result.LastData, result.FirstData, perToken, uncached)
 	n.home.opts.Stragglers.Observe(n.vm.ID, result.FirstData, perToken, uncached)
 }
 
--- a/fleet/home/home.go
+++ b/fleet/home/home.go
@@ -16,6 +16,7 @@
 	"cassialatch.dev/fleet/loadtable"
 	"cassialatch.dev/fleet/member"
 	"cassialatch.dev/fleet/order"
+	"cassialatch.dev/fleet/placement"
 	"cassialatch.dev/fleet/quarantine"
 	"cassialatch.dev/fleet/straggler"
 	"cassialatch.dev/wire/peerpb"
@@ -31,6 +32,7 @@
 	Loads      *loadtable.Table
 	Quarantine *quarantine.Table
 	Stragglers *straggler.Detector
+	Times      *placement.Times // learns how long engines take
 	Client     *backend.Client
 	Config     func() *dynamic.Config // in force; nil before the first
 	Now        func() time.Time
--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -82,6 +82,7 @@
 	loads      *loadtable.Table
 	quarantine *quarantine.Table
 	stragglers *straggler.Detector
+	times      *placement.Times
 	index      *warm.Index
 	retries    *retry.Budget
 	limiter    *limit.Limiter
@@ -175,6 +176,7 @@
 	n.loads = loadtable.New(loadKeep, n.now)
 	n.quarantine = quarantine.New(quarantine.Options{}, n.now)
 	n.stragglers = straggler.New(straggler.Options{}, n.now)
+	n.times = &placement.Times{}
 	n.index = warm.New(indexEntries)
 	n.retries = retry.NewBudget(defaultRetries, minRetries, n.now)
 	n.limiter = limit.New(limit.Options{})
@@ -189,7 +191,7 @@
 	holder := lease.Holder{ID: n.self.Id, Incarnation: n.self.Incarnation}
 	n.home = home.New(n.ctx, home.Options{
 		Self: holder, Directory: n.directory, Lender: n.lender, Shares: n.shares, Loads: n.loads,
-		Quarantine: n.quarantine, Stragglers: n.stragglers, Client: n.client,
+		Quarantine: n.quarantine, Stragglers: n.stragglers, Times: n.times, Client: n.client,
 		Config: n.adopter.Config, Now: n.now, Observer: observer{n.metrics},
 	})
 	n.router = router.New(router.Options{
@@ -230,7 +232,7 @@
 	if n.opts.Planner != nil {
 		return n.opts.Planner
 	}
-	return placement.NewPlanner(placement.Options{})
+	return placement.NewPlanner(placement.Options{Times: n.times})
 }
 
 // configured is told of each configuration that comes into force.
--- a/fleet/placement/placement.go
+++ b/fleet/placement/placement.go
@@ -82,6 +82,9 @@
 	PrefillWorth float64
 	// MeanService is the mean time for which a request holds its slot.
 	MeanService time.Duration
+	// Times replaces MeanService and PrefillPerToken by what it has learned;
+	// nil takes them as they are.
+	Times *Times
 	// IndexShare is the least fraction of the prompt that the index must
 	// promise. A shared system prompt alone must not draw every chat of a
 	// workspace to one backend server.
--- a/fleet/placement/planner.go
+++ b/fleet/placement/planner.go
@@ -96,7 +96,7 @@
 	if class == dynamic.ClassShort {
 		worth = 1
 	}
-	saved := worth * float64(tokens) * float64(p.PrefillPerToken)
+	saved := worth * float64(tokens) * float64(p.prefillPerToken())
 	return c.open() || float64(p.wait(c)-minWait) <= saved
 }
 
@@ -137,7 +137,29 @@
 		return math.MaxInt64
 	}
 	ahead := float64(c.InFlight+c.Queued) - bound + 1
-	return time.Duration(ahead * float64(p.MeanService) / bound)
+	return time.Duration(ahead * float64(p.meanService()) / bound)
+}
+
+// meanService returns the learned time that a request holds its slot, or the
+// one of the options.
+func (p *planner) meanService() time.Duration {
+	if p.Times != nil {
+		if service, _ := p.Times.Learned(); service > 0 {
+			return service
+		}
+	}
+	return p.MeanService
+}
+
+// prefillPerToken returns the learned time of a prompt token, or the one of the
+// options.
+func (p *planner) prefillPerToken() time.Duration {
+	if p.Times != nil {
+		if _, prefill := p.Times.Learned(); prefill > 0 {
+			return prefill
+		}
+	}
+	return p.PrefillPerToken
 }
 
 // survey sorts the candidates of one plan.
