--- a/fleet/home/home.go
+++ b/fleet/home/home.go
@@ -18,6 +18,7 @@
 	"cassialatch.dev/fleet/loadtable"
 	"cassialatch.dev/fleet/member"
 	"cassialatch.dev/fleet/order"
+	"cassialatch.dev/fleet/placement"
 	"cassialatch.dev/fleet/quarantine"
 	"cassialatch.dev/fleet/straggler"
 	"cassialatch.dev/wire/peerpb"
@@ -33,6 +34,7 @@
 	Loads      *loadtable.Table
 	Quarantine *quarantine.Table
 	Stragglers *straggler.Set
+	Times      *placement.Times // learns how long engines take
 	Client     *backend.Client
 	Config     func() *dynamic.Config // in force; nil before the first
 	Now        func() time.Time
