heartbeat: loads wait while the budget of control traffic is spent

Ruled out: holding claims, grants and quarantined requests back, on which the load bound and the crash rule rest. Change: loads are sent only when the meter allows their bytes; peers plan on older figures until then. Before: nothing asked the meter. Conclusion: limited in part; reports and platform reads are only counted.

--- a/fleet/heartbeat/handler.go
+++ b/fleet/heartbeat/handler.go
@@ -15,6 +15,7 @@
 	"cassialatch.dev/fleet/lease"
 	"cassialatch.dev/fleet/member"
 	"cassialatch.dev/fleet/quarantine"
+	"cassialatch.dev/fleet/traffic"
 	"cassialatch.dev/wire/peerpb"
 	"cassialatch.dev/wire/platformapi"
 )
@@ -30,6 +31,11 @@
 	Void(ticket string) peerpb.VoidTicketResponse_State
 }
 
+// Budget bounds what control traffic costs; see package traffic.
+type Budget interface {
+	Allow(kind traffic.Kind, bytes int) bool
+}
+
 // Options configure an Exchange.
 type Options struct {
 	Self       *peerpb.Identity
@@ -41,6 +47,7 @@
 	Quarantine *quarantine.Table
 	Tickets    Voider
 	Peers      Caller
+	Budget     Budget   // nil: no bound on what heartbeats cost
 	Seeds      []string // peer addresses tried besides the VM list
 	Interval   time.Duration
 	MaxPeers   int
--- a/fleet/heartbeat/sender.go
+++ b/fleet/heartbeat/sender.go
@@ -7,7 +7,10 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"cassialatch.dev/fleet/placement"
+	"cassialatch.dev/fleet/traffic"
 	"cassialatch.dev/wire/peerpb"
 )
 
@@ -147,7 +150,7 @@
 		Seq:         x.seq.Add(1),
 		Draining:    x.opts.Directory.Draining(),
 		Claims:      x.opts.Home.Claims(to.id),
-		Loads:       to.loads.news(x.opts.Home.Loads(), x.opts.Now()),
+		Loads:       x.affordable(to.loads.news(x.opts.Home.Loads(), x.opts.Now())),
 		Quarantined: x.opts.Quarantine.Export(maxQuarantined),
 		Documents:   x.versions(),
 		Released:    x.opts.Home.Released(),
@@ -176,6 +179,20 @@
 	return nil
 }
 
+// affordable returns the loads if the budget of control traffic allows them,
+// else none: peers plan on older figures for a while, while claims, grants and
+// quarantined requests always go.
+func (x *Exchange) affordable(loads []*peerpb.BackendLoad) []*peerpb.BackendLoad {
+	if x.opts.Budget == nil || len(loads) == 0 {
+		return loads
+	}
+	size := proto.Size(&peerpb.HeartbeatRequest{Loads: loads})
+	if !x.opts.Budget.Allow(traffic.KindLoad, size) {
+		return nil
+	}
+	return loads
+}
+
 // noteGrants counts the shares that a peer lent or refused.
 func (x *Exchange) noteGrants(resp *peerpb.HeartbeatResponse, sent time.Time) {
 	for _, grant := range resp.Grants {
--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -209,7 +209,7 @@
 	n.exchange = heartbeat.New(heartbeat.Options{
 		Self: n.self, Directory: n.directory, Adopter: n.adopter, Lender: n.lender, Shares: n.shares,
 		Home: n.home, Quarantine: n.quarantine, Tickets: n.executor,
-		Peers: caller{n.control, n.peers}, Seeds: n.settings.Control.Seeds,
+		Peers: caller{n.control, n.peers}, Budget: n.meter, Seeds: n.settings.Control.Seeds,
 		Interval: n.settings.Control.Heartbeat, MaxPeers: n.settings.Control.MaxPeers,
 		Now: n.now, Log: n.log,
 	})
