heartbeat: requests leave out document versions

Cause: each heartbeat listed the sender's document versions, and no receiver reads them; newer documents are found in the answers.

Ruled out: leaving them out of answers too. They are how a daemon learns.

Change: the field stays empty in requests.

--- a/fleet/heartbeat/sender.go
+++ b/fleet/heartbeat/sender.go
@@ -143,7 +143,6 @@
 		Claims:      x.opts.Home.Claims(to.id),
 		Loads:       to.loads.news(x.opts.Home.Loads(), x.opts.Now()),
 		Quarantined: x.opts.Quarantine.Export(maxQuarantined),
-		Documents:   x.versions(),
 		Released:    x.opts.Home.Released(),
 	}
 	for _, backend := range req.Released {
