pause: one wait that a context cuts short

Cause: the same wait stood three times, and twice more in loops; the full weight in permille twice. Change: package pause; loadtable.FullWeight. Before and after: ./fleet/... green. Conclusion: no change of behaviour.

--- a/fleet/heartbeat/sender.go
+++ b/fleet/heartbeat/sender.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"cassialatch.dev/fleet/pause"
 	"cassialatch.dev/fleet/placement"
 	"cassialatch.dev/fleet/traffic"
 	"cassialatch.dev/wire/peerpb"
@@ -44,7 +45,7 @@
 			}
 		}
 		x.opts.Home.Tick()
-		sleep(ctx, x.opts.Interval/2)
+		pause.For(ctx, x.opts.Interval/2)
 	}
 	for _, cancel := range loops {
 		cancel()
@@ -247,11 +248,3 @@
 	}
 	return true
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/fleet/home/home.go
+++ b/fleet/home/home.go
@@ -318,9 +318,6 @@
 	}
 }
 
-// fullWeight is the weight of a backend server that is not slow, in permille.
-const fullWeight = 1000
-
 // Loads returns this daemon's account of each backend server that it is home
 // of or still has work on.
 func (h *Home) Loads() []*peerpb.BackendLoad {
@@ -343,7 +340,7 @@
 			InFlight:       uint32(counts.InFlight),
 			Queued:         uint32(counts.Queued),
 			Limit:          uint32(max(0, n.allowed())),
-			WeightPermille: uint32(fullWeight * n.detector().Weight(n.vm.ID)),
+			WeightPermille: uint32(loadtable.FullWeight * n.detector().Weight(n.vm.ID)),
 			Leaving:        n.leaving(),
 			PerTokenUs:     uint32(n.detector().PerToken(n.vm.ID).Microseconds()),
 		})
--- a/fleet/home/runner.go
+++ b/fleet/home/runner.go
@@ -8,6 +8,7 @@
 	"cassialatch.dev/config/dynamic"
 	"cassialatch.dev/fleet/admission"
 	"cassialatch.dev/fleet/backend"
+	"cassialatch.dev/fleet/pause"
 	"cassialatch.dev/fleet/straggler"
 	"cassialatch.dev/outcome"
 	"cassialatch.dev/wire/engineapi"
@@ -130,10 +131,7 @@
 func (n *runner) poll(ctx context.Context) {
 	for ctx.Err() == nil {
 		n.readReport(ctx)
-		select {
-		case <-ctx.Done():
-		case <-time.After(n.reportPause()):
-		}
+		pause.For(ctx, n.reportPause())
 	}
 }
 
--- a/fleet/loadtable/loadtable.go
+++ b/fleet/loadtable/loadtable.go
@@ -121,8 +121,8 @@
 	At       time.Time
 }
 
-// fullWeight is the weight of a backend server that is not slow, in permille.
-const fullWeight = 1000
+// FullWeight is the weight of a backend server that is not slow, in permille.
+const FullWeight = 1000
 
 // Summaries returns the joined accounts by backend server.
 func (t *Table) Summaries() map[string]Summary {
@@ -180,7 +180,7 @@
 		s.At = e.At
 		s.Limit = int(e.Load.Limit)
 		s.Home = e.Load.Home
-		s.Weight = float64(e.Load.WeightPermille) / fullWeight
+		s.Weight = float64(e.Load.WeightPermille) / FullWeight
 	}
 	return s
 }
--- a/fleet/node/run.go
+++ b/fleet/node/run.go
@@ -12,6 +12,7 @@
 
 	"cassialatch.dev/config/setting"
 	"cassialatch.dev/fleet/operator"
+	"cassialatch.dev/fleet/pause"
 	"cassialatch.dev/fleet/peer"
 	"cassialatch.dev/fleet/traffic"
 )
@@ -145,7 +146,7 @@
 // that has run out.
 func (n *Node) finish(servers httpServers) {
 	limits := n.settings.Limits
-	sleep(n.ctx, limits.EntryTTL+drainMargin)
+	pause.For(n.ctx, limits.EntryTTL+drainMargin)
 	ctx, cancel := context.WithTimeout(n.ctx, limits.DrainTimeout)
 	defer cancel()
 
@@ -154,7 +155,7 @@
 		servers.caller.Close()
 	}
 	for n.forwarded.Load() > 0 && ctx.Err() == nil {
-		sleep(ctx, drainPoll)
+		pause.For(ctx, drainPoll)
 	}
 	n.cancel()
 	servers.operator.Close()
@@ -182,7 +183,7 @@
 		n.metrics.Homes(n.home.Count())
 		n.metrics.Quarantined(len(n.quarantine.Export(maxShownQuarantined)))
 		n.metrics.ControlTraffic(n.meter.Snapshot())
-		sleep(n.ctx, gaugeInterval)
+		pause.For(n.ctx, gaugeInterval)
 	}
 }
 
@@ -209,11 +210,3 @@
 		},
 	}
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/fleet/order/order.go
+++ b/fleet/order/order.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"cassialatch.dev/config/dynamic"
+	"cassialatch.dev/fleet/pause"
 	"cassialatch.dev/wire/engineapi"
 )
 
@@ -115,10 +116,7 @@
 func (o *Orderer) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		o.sendDue(ctx)
-		select {
-		case <-ctx.Done():
-		case <-time.After(interval):
-		}
+		pause.For(ctx, interval)
 	}
 }
 
--- a/fleet/platform/watcher.go
+++ b/fleet/platform/watcher.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cassialatch.dev/fleet/pause"
 	"cassialatch.dev/wire/platformapi"
 )
 
@@ -74,7 +75,7 @@
 	for ctx.Err() == nil {
 		version, err := read(held)
 		held = max(held, version)
-		sleep(ctx, w.pause(err))
+		pause.For(ctx, w.pause(err))
 	}
 }
 
@@ -130,11 +131,3 @@
 	}
 	return w.sink.VMs(list), nil
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
