home: a server that fails to report is not taken to be idle

Cause: any HTTP status but 200 on a load report was taken for a plain service without reports, so an engine that answered 500 counted as free of others' work. Ruled out: asking only models for reports; plain services may have them too. Change: 404 alone means that there are no reports; other statuses count as missed reports. Before: the new test said true != false for 500 and 429. After: green. Conclusion: without a report there is no admission to a server that has them.

--- a/fleet/backend/client.go
+++ b/fleet/backend/client.go
@@ -248,3 +248,9 @@
 	var status *StatusError
 	return errors.As(err, &status)
 }
+
+// IsNotFound reports whether err says that the backend server has no reports.
+func IsNotFound(err error) bool {
+	var status *StatusError
+	return errors.As(err, &status) && status.Status == http.StatusNotFound
+}
--- /dev/null
+++ b/fleet/home/report_test.go
@@ -0,0 +1,42 @@
+package home
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cassialatch.dev/fleet/backend"
+	"cassialatch.dev/fleet/lease"
+	"cassialatch.dev/wire/platformapi"
+)
+
+// TestOnlyAServerWithoutReportsIsTrustedToBeIdle answers report calls with a
+// status: a server that has no reports may get work, one that fails to report
+// may have any work of others.
+func TestOnlyAServerWithoutReportsIsTrustedToBeIdle(t *testing.T) {
+	for _, tc := range []struct {
+		status int
+		known  bool
+	}{
+		{http.StatusNotFound, true},
+		{http.StatusInternalServerError, false},
+		{http.StatusTooManyRequests, false},
+	} {
+		t.Run(http.StatusText(tc.status), func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(tc.status)
+			}))
+			defer server.Close()
+			client := backend.NewClient(nil)
+			defer client.Close()
+			h := New(t.Context(), Options{Client: client, Shares: lease.NewShares(time.Now), Now: time.Now})
+			n := newRunner(h, platformapi.VM{ID: "arkiv-0", Address: server.Listener.Addr().String()}, rules{maxInFlight: 4})
+			n.readReport(t.Context())
+			is.Equal(n.external.known(), tc.known)
+		})
+	}
+}
--- a/fleet/home/runner.go
+++ b/fleet/home/runner.go
@@ -156,7 +156,7 @@
 	switch {
 	case err == nil:
 		n.apply(report, asked)
-	case backend.IsStatus(err): // a plain service without reports
+	case backend.IsNotFound(err): // a plain service without reports
 		n.misses.Store(0)
 		n.noteExternal(asked, 0)
 	case ctx.Err() != nil && n.home.ctx.Err() != nil:
