--- a/fleet/entry/server.go
+++ b/fleet/entry/server.go
@@ -96,7 +96,7 @@
 	id        string
 	class     dynamic.Class
 	sink      *sink
-	submitted bool // to the executor of its ticket, whose word stands
+	submitted bool // to the executor of its ticket, whose outcome is final
 	began     time.Time
 }
 
--- a/fleet/home/home.go
+++ b/fleet/home/home.go
@@ -40,7 +40,7 @@
 	Now        func() time.Time
 	Observer   Observer
 	Log        zerolog.Logger
-	OnCrash    func() // called when a request joins the quarantine
+	OnCrash    func() // called when a request has crashed a backend server
 }
 
 // releaseRepeat is how long a release is repeated to lenders.
--- a/fleet/home/runner.go
+++ b/fleet/home/runner.go
@@ -71,7 +71,7 @@
 	limit    atomic.Int64           // of the whole fleet's work on the server
 	homed    atomic.Bool            // this daemon takes itself for the home
 	listed   atomic.Bool            // the VM list says that it is leaving
-	left     atomic.Pointer[string] // process instance that said that it is leaving
+	left     atomic.Pointer[string] // process instance that reported that it is leaving
 	misses   atomic.Int64
 	instance atomic.Pointer[string]
 	external external
@@ -190,12 +190,12 @@
 	n.external.note(measured, newest, max(0, work))
 }
 
-// leaving reports whether the server is leaving by the VM list or by its own
-// word.
+// leaving reports whether the server is leaving, by the VM list or by its own
+// load report.
 func (n *runner) leaving() bool { return n.listed.Load() || n.left.Load() != nil }
 
-// noteLeaving takes the server's own word. A process that said once that it is
-// leaving stays so; another one at its address has its own say.
+// noteLeaving takes the leaving flag of a load report. It holds for the rest of
+// the process that set it; another process at the address starts without it.
 func (n *runner) noteLeaving(report engineapi.LoadReport) {
 	left := n.left.Load()
 	switch {
--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -154,8 +154,8 @@
 // never come.
 const settleLeases = 3
 
-// settled reports whether the daemon has taken its place among the homes. Once
-// true it stays so.
+// settled reports whether the daemon serves the backend servers that it is home
+// of. Once true it stays so.
 func (n *Node) settled() bool {
 	if n.inPlace.Load() {
 		return true
