home: ended requests are forgotten once a second, not at each request

Ruled out: hedges and heartbeats (the entry's cost fell with it, and the window had no control load). Change: spans look for requests to forget once a second.

--- a/fleet/home/spans.go
+++ b/fleet/home/spans.go
@@ -9,6 +9,7 @@
 // Times of spans.
 const (
 	arrivalTime = 2 * time.Second  // by then a request that was sent is at the backend server
+	spanPrune   = time.Second      // between two looks for requests to forget
 	spanKeep    = 15 * time.Second // longer than any report is late
 )
 
@@ -33,16 +34,18 @@
 type spans struct {
 	now func() time.Time
 
-	mu  sync.Mutex
-	all []*span // by start
+	mu     sync.Mutex
+	all    []*span // by start
+	pruned time.Time
 }
 
 // begin notes the start of a request.
 func (s *spans) begin() *span {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pruneLocked()
-	begun := &span{start: s.now()}
+	now := s.now()
+	s.pruneLocked(now)
+	begun := &span{start: now}
 	s.all = append(s.all, begun)
 	return begun
 }
@@ -61,9 +64,14 @@
 	ended.end = s.now()
 }
 
-// pruneLocked forgets requests that ended long ago. The caller holds s.mu.
-func (s *spans) pruneLocked() {
-	oldest := s.now().Add(-spanKeep)
+// pruneLocked forgets requests that ended long ago, now and then. The caller
+// holds s.mu.
+func (s *spans) pruneLocked(now time.Time) {
+	if now.Sub(s.pruned) < spanPrune {
+		return
+	}
+	s.pruned = now
+	oldest := now.Add(-spanKeep)
 	s.all = slices.DeleteFunc(s.all, func(sp *span) bool {
 		return !sp.end.IsZero() && sp.end.Before(oldest)
 	})
