--- a/fleet/router/router.go
+++ b/fleet/router/router.go
@@ -276,9 +276,6 @@
 	}
 }
 
-// Class returns the class of a start.
-func Class(start *peerpb.ForwardStart) dynamic.Class { return dynamic.Class(start.Class) }
-
 // startedSink remembers whether any part of an answer was passed on.
 type startedSink struct {
 	forward.Sink
