node: a daemon that has started stays ready

Cause: read once more, Ready was asked for every request and rebuilt the list of peers each time (a sort, and in a large fleet the home of each backend server and a rendezvous order). Change: the latch that held 'settled' now holds the whole start; what a start must wait for is unchanged. Before: TestReadyDaemonStaysReadyWhenTheListGrows failed in 2 of 2 runs ('not true: node.Ready()'). After: passes in 2 of 2, with the race detector. Conclusion: readiness is about the start, and costs a request one load.

--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -89,7 +89,7 @@
 	drainOnce sync.Once
 
 	began   time.Time
-	inPlace atomic.Bool // see settled
+	started atomic.Bool // see start
 
 	forwarded atomic.Int64 // requests that peers have in flight here
 }
@@ -139,14 +139,24 @@
 		Int("inactive", len(config.Inactive)).Msg("configuration in force")
 }
 
-// Ready reports whether callers may be sent here: a configuration is in force,
-// the VM list is known, each peer was asked for newer documents, and the daemon
-// lends its shares again and serves the backend servers that it is home of. So
-// an operator who restarts one daemon after the other never takes two out at
-// once.
+// Ready reports whether callers may be sent here. A daemon that has started
+// stays ready until it stops.
 func (n *Node) Ready() bool {
+	return n.ctx.Err() == nil && (n.started.Load() || n.start())
+}
+
+// start reports whether the daemon has started, and remembers it: a
+// configuration is in force, the VM list is known, each peer was asked for newer
+// documents, and the daemon lends its shares again and serves the backend
+// servers that it is home of. So an operator who restarts one daemon after the
+// other never takes two out at once.
+func (n *Node) start() bool {
 	informed := n.adopter.Config() != nil && n.exchange.AskedAll()
-	return informed && n.lender.Open() && n.settled() && n.ctx.Err() == nil
+	if !informed || !n.lender.Open() || !n.settled() {
+		return false
+	}
+	n.started.Store(true)
+	return true
 }
 
 // settleLeases is how many leases' time a daemon waits at most for the shares
@@ -155,17 +165,10 @@
 const settleLeases = 3
 
 // settled reports whether the daemon serves the backend servers that it is home
-// of. Once true it stays so.
+// of, or has waited long enough for it.
 func (n *Node) settled() bool {
-	if n.inPlace.Load() {
-		return true
-	}
-	waited := n.now().Sub(n.began) > settleLeases*n.settings.Control.LeaseDuration
-	if !waited && !n.home.Settled() {
-		return false
-	}
-	n.inPlace.Store(true)
-	return true
+	waited := n.now().Sub(n.began)
+	return waited > settleLeases*n.settings.Control.LeaseDuration || n.home.Settled()
 }
 
 // Execute implements forward.Executor for what peers hand to this daemon: a
--- a/tests/whole/whole_test.go
+++ b/tests/whole/whole_test.go
@@ -57,3 +57,17 @@
 		is.Equal(runs, 1)
 	}
 }
+
+func TestReadyDaemonStaysReadyWhenTheListGrows(t *testing.T) {
+	is := is.New(t)
+	f := harness.Start(t, harness.Options{Daemons: 1, Engines: 1})
+	node := f.Daemons[0].Node
+	before := node.Status().Platform.VMListAt
+	f.Grow("entry-new")
+	for node.Status().Platform.VMListAt == before {
+		is.True(node.Ready())
+	}
+	for range 2000 { // the new daemon has not been asked yet at first
+		is.True(node.Ready())
+	}
+}
