gateway, platform: one lean program a VM for the users' platform

Cause: the users' platform gives no disk, no control VMs and a store that is only read; memory and store calls are priced.

--- /dev/null
+++ b/gateway/daemon/daemon.go
@@ -0,0 +1,332 @@
+// Package daemon joins the parts of a gateway and runs them.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"cassialatch.dev/gateway/boottime"
+	"cassialatch.dev/gateway/call"
+	"cassialatch.dev/gateway/catalog"
+	"cassialatch.dev/gateway/directory"
+	"cassialatch.dev/gateway/eventlog"
+	"cassialatch.dev/gateway/health"
+	"cassialatch.dev/gateway/ingress"
+	"cassialatch.dev/gateway/load"
+	"cassialatch.dev/gateway/metrics"
+	"cassialatch.dev/gateway/peers"
+	"cassialatch.dev/gateway/reader"
+	"cassialatch.dev/gateway/retry"
+	"cassialatch.dev/gateway/suspect"
+	"cassialatch.dev/gateway/upstream"
+)
+
+// Adapter is what a deployment's adapter provides.
+type Adapter struct {
+	Dialect call.Dialect
+	Source  reader.Source
+	// Entry serves callers that ask where to connect.
+	Entry func(d *directory.Directory) http.Handler
+	// Readiness serves checks of readiness.
+	Readiness func(ready func() bool) http.Handler
+	// Reload reads the settings again, for a change while the daemon runs.
+	Reload func() (Settings, error)
+}
+
+// readyAge is the age of the last confirmation from which a daemon is not
+// ready.
+const readyAge = 4 * time.Second
+
+const (
+	collectPercent = 50 // GOGC: a small heap costs little to collect
+	memoryPart     = 0.8
+)
+
+// Daemon is one running gateway.
+type Daemon struct {
+	settings Settings
+	adapter  Adapter
+	log      *eventlog.Log
+	writer   *eventlog.Writer
+
+	catalog  *catalog.Catalog
+	peers    *peers.Table
+	exchange *peers.Exchange
+	reader   *reader.Reader
+	loads    *load.Table
+	health   *health.Table
+	pool     *upstream.Pool
+	suspects *suspect.Table
+	metrics  *metrics.Registry
+	handler  *ingress.Handler
+	callers  *ingress.Server
+	servers  []*http.Server
+
+	draining atomic.Bool
+}
+
+// New joins the parts of a daemon.
+func New(s Settings, a Adapter) *Daemon {
+	debug.SetGCPercent(collectPercent)
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(float64(s.Memory) * memoryPart))
+	}
+	c := catalog.New(boottime.Now)
+	writer := eventlog.NewWriter(os.Stdout)
+	d := &Daemon{
+		settings: s,
+		adapter:  a,
+		writer:   writer,
+		log:      eventlog.New(writer, s.Name, c),
+		catalog:  c,
+		loads:    load.New(time.Now),
+		health:   health.New(time.Now),
+		pool:     upstream.NewPool(a.Dialect),
+		suspects: suspect.New(time.Now),
+		metrics:  metrics.New(),
+	}
+	d.peers = peers.NewTable(peers.Self{
+		IP: s.IP, Zone: s.Zone, Capacity: s.Cores, Seeds: hosts(s.Seeds),
+	}, boottime.Now, c)
+	d.reader = reader.New(a.Source, c, d.peers, boottime.Now, d.log)
+	d.handler = &ingress.Handler{
+		Dialect:  a.Dialect,
+		Catalog:  c,
+		Pool:     d.pool,
+		Loads:    d.loads,
+		Health:   d.health,
+		Budget:   retry.New(retry.Options(s.Retry), d.peers.FleetSize, time.Now),
+		Suspects: d.suspects,
+		Fleet:    d.peers.FleetSize,
+		Recorder: d,
+		Settings: ingress.Settings{Zone: s.Zone, KeyLease: s.KeyLease},
+		Draining: d.draining.Load,
+	}
+	d.callers = ingress.NewServer(d.handler)
+	d.pool.OnDial = d.dialed
+	d.gauges()
+	return d
+}
+
+// hosts returns the hosts of addresses.
+func hosts(addresses []string) []string {
+	var ips []string
+	for _, a := range addresses {
+		if host, _, err := net.SplitHostPort(a); err == nil {
+			ips = append(ips, host)
+		}
+	}
+	return ips
+}
+
+// Record implements ingress.Recorder.
+func (d *Daemon) Record(r *ingress.Record) {
+	d.log.Request(r)
+	d.metrics.Request(r.Service, string(r.Outcome), string(r.Reason), r.First, r.Took)
+}
+
+func (d *Daemon) dialed(_ string, _ time.Duration, err error) {
+	if err != nil {
+		d.metrics.Count("dial_failures")
+		return
+	}
+	d.metrics.Count("dials")
+}
+
+func (d *Daemon) gauges() {
+	d.metrics.Gauge("confirmed_age_seconds", func() float64 {
+		age, ok := d.catalog.Age()
+		if !ok {
+			return -1
+		}
+		return age.Seconds()
+	})
+	d.metrics.Gauge("peers", func() float64 { return float64(len(d.peers.Alive())) })
+	d.metrics.Gauge("server_connections", func() float64 { return float64(d.pool.Open()) })
+	d.metrics.Gauge("log_lines_dropped", func() float64 { return float64(d.writer.Dropped()) })
+}
+
+// ready tells whether callers may be sent here.
+func (d *Daemon) ready() bool {
+	age, ok := d.catalog.Age()
+	return ok && age < readyAge && !d.draining.Load() && d.catalog.View().Table != nil
+}
+
+func (d *Daemon) status() peers.Status {
+	return peers.Status{Ready: d.ready(), Leaving: d.draining.Load()}
+}
+
+// Run serves until the context ends, then drains. It returns when the process
+// may end.
+func (d *Daemon) Run(ctx context.Context) error {
+	d.log.Lifecycle("start", d.settings.IP)
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	if err := d.open(background); err != nil {
+		return err
+	}
+	go d.reader.Run(background)
+	go d.exchange.Run(background)
+	go d.maintain(background)
+	<-ctx.Done()
+	d.drain()
+	return nil
+}
+
+// open listens on all addresses.
+func (d *Daemon) open(ctx context.Context) error {
+	s := d.settings
+	_, port, err := net.SplitHostPort(s.Control)
+	if err != nil {
+		return err
+	}
+	fetcher := peers.NewFetcher(d.catalog, boottime.Now, port, d.reader)
+	addr, err := net.ResolveUDPAddr("udp4", s.Exchange)
+	if err != nil {
+		return err
+	}
+	d.exchange, err = peers.Listen(addr, d.peers, d.loads, d.suspects, fetcher, d.status)
+	if err != nil {
+		return err
+	}
+	dir := &directory.Directory{Self: s.Frontend, Ready: d.ready, Peers: d.peers}
+	small := []struct {
+		address string
+		handler http.Handler
+	}{
+		{s.Control, peers.StateHandler(d.catalog)},
+		{s.Directory, d.adapter.Entry(dir)},
+		{s.Readiness, d.adapter.Readiness(d.ready)},
+		{s.Metrics, d.metrics},
+	}
+	for _, l := range small {
+		if l.address == "" {
+			continue
+		}
+		if err := d.listen(l.address, l.handler); err != nil {
+			return err
+		}
+	}
+	listener, err := net.Listen("tcp4", s.Frontend)
+	if err != nil {
+		return err
+	}
+	go d.serve(func() error { return d.callers.Serve(listener) })
+	return nil
+}
+
+// listen serves one of the small interfaces.
+func (d *Daemon) listen(address string, h http.Handler) error {
+	const headerTimeout, idleTimeout = 5 * time.Second, time.Minute
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	d.servers = append(d.servers, server)
+	go d.serve(func() error { return server.Serve(listener) })
+	return nil
+}
+
+func (d *Daemon) serve(run func() error) {
+	if err := run(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		d.log.Failure("listener_failed", err)
+	}
+}
+
+// maintain forgets what is old and logs which daemons come and go.
+func (d *Daemon) maintain(ctx context.Context) {
+	const interval = time.Second
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	known := make(map[string]bool)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		view := d.catalog.View()
+		listed := make(map[string]bool, len(view.Servers))
+		for i := range view.Servers {
+			listed[i.ID] = true
+		}
+		d.pool.Expire(func(id string) bool { return listed[id] })
+		d.health.Expire()
+		if view.Table != nil {
+			d.callers.CloseIdle(view.Table.Limits().IdleTimeout)
+		}
+		known = d.logPeers(known)
+	}
+}
+
+func (d *Daemon) logPeers(known map[string]bool) map[string]bool {
+	alive := make(map[string]bool)
+	var heard, lost []string
+	for _, p := range d.peers.Alive() {
+		alive[p.IP] = true
+		if !known[p.IP] {
+			heard = append(heard, p.IP)
+		}
+	}
+	for ip := range known {
+		if !alive[ip] {
+			lost = append(lost, ip)
+		}
+	}
+	if len(heard)+len(lost) > 0 {
+		d.log.Peers(heard, lost, len(alive))
+	}
+	return alive
+}
+
+const (
+	// endMargin is how long before the platform kills the process its callers'
+	// connections are closed.
+	endMargin = 400 * time.Millisecond
+	// leastDrain is the shortest drain: callers that keep an old answer go on
+	// coming for this long.
+	leastDrain = 7 * time.Second
+	drainCheck = 50 * time.Millisecond
+	logWait    = 100 * time.Millisecond
+)
+
+// drain serves on while callers go elsewhere.
+func (d *Daemon) drain() {
+	d.draining.Store(true)
+	d.log.Lifecycle("drain_started", "")
+	d.exchange.SendNow()
+	start := time.Now()
+	end := start.Add(d.settings.Grace - endMargin)
+	least := start.Add(min(leastDrain, d.settings.Grace-endMargin))
+	for now := start; now.Before(end); now = time.Now() {
+		if now.After(least) && d.callers.Active() == 0 {
+			break
+		}
+		time.Sleep(drainCheck)
+	}
+	d.callers.Close()
+	for _, s := range d.servers {
+		s.Close()
+	}
+	d.log.Lifecycle("stop", "")
+	d.writer.Close(logWait)
+}
+
+// Reload reads the settings again. What can't be changed while the daemon runs
+// stays as it is.
+func (d *Daemon) Reload() {
+	s, err := d.adapter.Reload()
+	if err != nil {
+		d.log.Failure("reload_failed", err)
+		return
+	}
+	d.peers.AddSeeds(hosts(s.Seeds))
+	d.log.Lifecycle("reload", "")
+}
--- /dev/null
+++ b/gateway/eventlog/log.go
@@ -0,0 +1,104 @@
+package eventlog
+
+import (
+	"os"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"cassialatch.dev/gateway/catalog"
+	"cassialatch.dev/gateway/ingress"
+)
+
+// Log writes one line for each decision and each change of what the daemon
+// knows.
+type Log struct {
+	z       zerolog.Logger
+	catalog *catalog.Catalog
+}
+
+// New returns a log that names the daemon on each line.
+func New(w *Writer, daemon string, c *catalog.Catalog) *Log {
+	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
+	z := zerolog.New(w).With().Timestamp().Str("daemon", daemon).Logger()
+	return &Log{z: z, catalog: c}
+}
+
+// Request logs how a request ended and what decided it.
+func (l *Log) Request(r *ingress.Record) {
+	e := l.z.Info()
+	if r.Outcome == ingress.Unknown || r.Outcome == ingress.NotRun {
+		e = l.z.Warn()
+	}
+	e.Str("event", "request").Str("id", r.ID).
+		Str("outcome", string(r.Outcome)).Int("status", r.Status)
+	if r.Reason != ingress.ReasonNone {
+		e.Str("reason", string(r.Reason))
+	}
+	e.Str("route", r.Route).Str("workspace", r.Workspace).Str("service", r.Service).
+		Int64("version", r.Version).Int64("revision", r.Revision).
+		Int64("confirmed_ms", r.Age.Milliseconds()).
+		Int64("first_ms", r.First.Milliseconds()).Int64("took_ms", r.Took.Milliseconds())
+	if r.Resumed > 0 {
+		e.Int("resumed", r.Resumed)
+	}
+	attempts := zerolog.Arr()
+	for i := range r.Attempts {
+		attempts.Object(attempt{&r.Attempts[i]})
+	}
+	e.Array("attempts", attempts).Msg("")
+}
+
+type attempt struct{ *ingress.Attempt }
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (a attempt) MarshalZerologObject(e *zerolog.Event) {
+	e.Str("server", a.Server).Int("in_flight", a.InFlight).Int64("took_ms", a.Took.Milliseconds())
+	if a.Status != 0 {
+		e.Int("status", a.Status)
+	}
+	if a.Reason != ingress.ReasonNone {
+		e.Str("reason", string(a.Reason))
+	}
+	if a.Detail != "" {
+		e.Str("detail", a.Detail)
+	}
+}
+
+// StoreLost implements reader.Log.
+func (l *Log) StoreLost(err error, age time.Duration) {
+	l.z.Warn().Str("event", "store_lost").Err(err).Int64("confirmed_ms", age.Milliseconds()).Msg("")
+}
+
+// StoreBack implements reader.Log.
+func (l *Log) StoreBack(outage time.Duration) {
+	l.z.Info().Str("event", "store_back").Int64("outage_ms", outage.Milliseconds()).Msg("")
+}
+
+// ConfigRejected implements reader.Log.
+func (l *Log) ConfigRejected(err error, revision int64) {
+	l.z.Error().Str("event", "configuration_rejected").Err(err).Int64("revision", revision).Msg("")
+}
+
+// Adopted implements reader.Log.
+func (l *Log) Adopted(origin string, revision, version int64, servers int, age time.Duration) {
+	l.z.Info().Str("event", "state_adopted").Str("origin", origin).Int64("revision", revision).
+		Int64("version", version).Int("servers", servers).
+		Int64("confirmed_ms", age.Milliseconds()).Msg("")
+}
+
+// Lifecycle logs a step in the daemon's life.
+func (l *Log) Lifecycle(event, detail string) {
+	l.z.Info().Str("event", event).Str("detail", detail).Int("pid", os.Getpid()).Msg("")
+}
+
+// Failure logs an error that no request is to blame for.
+func (l *Log) Failure(event string, err error) {
+	l.z.Error().Str("event", event).Err(err).Msg("")
+}
+
+// Peers logs a change of the daemons that are heard.
+func (l *Log) Peers(heard, lost []string, alive int) {
+	l.z.Info().Str("event", "peers_changed").Strs("heard", heard).Strs("lost", lost).
+		Int("alive", alive).Msg("")
+}
--- /dev/null
+++ b/gateway/ingress/run.go
@@ -0,0 +1,287 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"cassialatch.dev/gateway/call"
+	"cassialatch.dev/gateway/catalog"
+	"cassialatch.dev/gateway/placement"
+	"cassialatch.dev/gateway/route"
+	"cassialatch.dev/gateway/upstream"
+)
+
+// maxSends bounds the servers that one request is offered to, refusals
+// included.
+const maxSends = 4
+
+// minRemaining is the least time left in which an attempt is worth making.
+const minRemaining = 5 * time.Millisecond
+
+// run sends the request until it has an answer or nothing more may be tried.
+func (q *query) run(ctx context.Context, w http.ResponseWriter) {
+	attempts := 0 // those that may have run
+	for sends := 0; sends < maxSends; sends++ {
+		if q.remaining() < minRemaining {
+			q.giveUp(w, ReasonDeadline, 0)
+			return
+		}
+		if reject := q.stillAllowed(); reject != nil {
+			q.rejectRunning(w, reject)
+			return
+		}
+		server, inFlight := q.choose()
+		if server == nil {
+			q.giveUp(w, ReasonNoServer, noServerRetry)
+			return
+		}
+		if q.offered() && !q.h.Budget.Allow(q.service.Name) {
+			q.giveUp(w, ReasonBudget, fullRetry)
+			return
+		}
+		again := q.attempt(ctx, w, server, inFlight)
+		if q.finished {
+			return
+		}
+		if ctx.Err() != nil {
+			q.interrupted(ctx, w)
+			return
+		}
+		if q.last().ran() {
+			attempts++
+		}
+		if !again || attempts >= max(q.route.MaxAttempts, 1) {
+			break
+		}
+	}
+	q.giveUp(w, q.last().Reason, fullRetry)
+}
+
+// offered tells whether a server has seen any of the request.
+func (q *query) offered() bool {
+	for i := range q.rec.Attempts {
+		if q.rec.Attempts[i].Reason != ReasonNotSent {
+			return true
+		}
+	}
+	return false
+}
+
+// ran tells whether the server may have run the request.
+func (a *Attempt) ran() bool {
+	switch a.Reason {
+	case ReasonNotSent, ReasonFull, ReasonMisdirected:
+		return false
+	}
+	return true
+}
+
+func (q *query) last() *Attempt {
+	if len(q.rec.Attempts) == 0 {
+		return &Attempt{}
+	}
+	return &q.rec.Attempts[len(q.rec.Attempts)-1]
+}
+
+// choose picks the server for the next attempt.
+func (q *query) choose() (*catalog.Server, int) {
+	servers := q.h.Catalog.View().ByService[q.service.Name]
+	candidates, resting := q.candidates(servers)
+	if len(candidates) == 0 {
+		candidates = resting
+	}
+	var i int
+	if len(q.call.Parts) > 0 {
+		i = placement.Prompt(candidates, q.call.SharedParts(), placement.ForPrompt)
+	} else {
+		i = placement.Least(candidates, q.h.Settings.Zone)
+	}
+	if i < 0 {
+		return nil, 0
+	}
+	chosen := candidates[i]
+	for _, s := range servers {
+		if s.ID == chosen.ID {
+			return s, chosen.InFlight
+		}
+	}
+	return nil, 0
+}
+
+// candidates returns the servers that were not tried, those that rest apart.
+func (q *query) candidates(servers []*catalog.Server) (ready, resting []placement.Candidate) {
+	ids := make([]string, len(servers))
+	counts := make([]int, len(servers))
+	for i, s := range servers {
+		ids[i] = s.ID
+	}
+	q.h.Loads.InFlight(ids, counts)
+	for i, s := range servers {
+		if q.tried[s.ID] {
+			continue
+		}
+		penalty, rests := q.h.Health.Penalty(s.ID)
+		c := placement.Candidate{ID: s.ID, Zone: s.Zone, InFlight: counts[i], Penalty: penalty}
+		if rests {
+			resting = append(resting, c)
+		} else {
+			ready = append(ready, c)
+		}
+	}
+	return ready, resting
+}
+
+// attempt sends the request to one server. It returns whether another server
+// may be tried.
+func (q *query) attempt(ctx context.Context, w http.ResponseWriter, s *catalog.Server, inFlight int) bool {
+	start := time.Now()
+	q.tried[s.ID] = true
+	q.rec.Attempts = append(q.rec.Attempts, Attempt{Server: s.ID, InFlight: inFlight})
+	a := q.last()
+	q.h.Loads.Begin(s.ID)
+	defer func() {
+		q.h.Loads.End(s.ID)
+		a.Took = time.Since(start)
+	}()
+	answer, err := q.h.Pool.Send(ctx, s, q.outgoing(s))
+	if err != nil {
+		return q.sendFailed(ctx, s, a, err)
+	}
+	a.Status = answer.Status
+	switch {
+	case answer.NotExecuted:
+		return q.refused(s, a, answer)
+	case answer.Status >= 200 && answer.Status < 300 && !answer.Signed:
+		answer.Abort()
+		return q.failed(s, a, ReasonUnsigned, "")
+	case answer.Status >= 200 && answer.Status < 300 && q.route.Kind == route.Stream:
+		return q.stream(w, s, a, answer)
+	default:
+		return q.whole(w, s, a, answer)
+	}
+}
+
+func (q *query) outgoing(s *catalog.Server) *upstream.Outgoing {
+	resume := q.lastID
+	if resume == "" {
+		resume = q.call.ResumeAfter
+	}
+	attempt := call.Attempt{
+		ServerID:    s.ID,
+		Deadline:    q.remaining(),
+		Priority:    q.priority(),
+		ResumeAfter: resume,
+	}
+	if q.ws != nil {
+		attempt.Workspace = q.ws.Name
+	}
+	share := 0
+	if q.service.MaxConns > 0 {
+		share = max(q.service.MaxConns/max(q.h.Fleet(), 1), 2)
+	}
+	return &upstream.Outgoing{
+		ID:       q.call.ID,
+		Method:   q.method,
+		Target:   q.target,
+		Host:     q.host,
+		Header:   q.h.Dialect.Outbound(q.header, attempt),
+		Body:     q.body,
+		MaxConns: share,
+	}
+}
+
+// sendFailed handles an attempt without an answer.
+func (q *query) sendFailed(ctx context.Context, s *catalog.Server, a *Attempt, err error) bool {
+	a.Detail = err.Error()
+	var failure *upstream.Error
+	if errors.As(err, &failure) && !failure.Sent {
+		a.Reason = ReasonNotSent
+		if ctx.Err() == nil && !errors.Is(err, upstream.ErrTooManyConns) {
+			q.h.Health.Unreachable(s.ID)
+		}
+		return true
+	}
+	q.ran = true
+	a.Reason = ReasonBroken
+	if ctx.Err() != nil {
+		return false
+	}
+	q.h.Health.Unreachable(s.ID)
+	q.h.Suspects.Broke(q.print)
+	return q.route.Repeatable()
+}
+
+// refused handles a server that promises not to have run the request.
+func (q *query) refused(s *catalog.Server, a *Attempt, answer *upstream.Answer) bool {
+	a.Reason = ReasonFull
+	if answer.Status == http.StatusMisdirectedRequest {
+		a.Reason = ReasonMisdirected
+		q.h.Health.Unreachable(s.ID)
+	} else {
+		q.h.Health.Full(s.ID)
+	}
+	drain(answer)
+	return true
+}
+
+// failed handles an attempt whose answer can't be used.
+func (q *query) failed(s *catalog.Server, a *Attempt, reason Reason, detail string) bool {
+	a.Reason, a.Detail = reason, detail
+	q.ran = true
+	q.h.Health.Failed(s.ID)
+	return q.route.Repeatable()
+}
+
+// giveUp writes the final answer when no server has given one.
+func (q *query) giveUp(w http.ResponseWriter, reason Reason, retryAfter time.Duration) {
+	switch {
+	case q.headWritten:
+		q.abortCaller(reason)
+	case q.kept != nil:
+		q.kept.write(w, q.rec)
+	case !q.ran:
+		notRun(reason, retryAfter).write(w, q.rec)
+	default:
+		q.unknown(w, reason)
+	}
+}
+
+// rejectRunning ends a request that is no longer allowed.
+func (q *query) rejectRunning(w http.ResponseWriter, reject *rejection) {
+	if q.ran {
+		q.giveUp(w, reject.reason, 0)
+		return
+	}
+	reject.write(w, q.rec)
+}
+
+// unknown tells that the request may have run.
+func (q *query) unknown(w http.ResponseWriter, reason Reason) {
+	status := http.StatusBadGateway
+	if reason == ReasonDeadline {
+		status = http.StatusGatewayTimeout
+	}
+	q.rec.Status, q.rec.Reason, q.rec.Outcome = status, reason, Unknown
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(status)
+}
+
+// interrupted ends a request whose caller has left or whose time is over.
+func (q *query) interrupted(ctx context.Context, w http.ResponseWriter) {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		q.giveUp(w, ReasonDeadline, 0)
+		return
+	}
+	q.rec.Outcome, q.rec.Reason = Left, ReasonCallerLeft
+	q.finished = true
+	panic(http.ErrAbortHandler)
+}
+
+// abortCaller ends an answer that has begun so that it can't be taken for a
+// whole one.
+func (q *query) abortCaller(reason Reason) {
+	q.rec.Outcome, q.rec.Reason = Unknown, reason
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/gateway/peers/exchange.go
@@ -0,0 +1,201 @@
+package peers
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"cassialatch.dev/gateway/boottime"
+	"cassialatch.dev/gateway/catalog"
+	"cassialatch.dev/gateway/load"
+	"cassialatch.dev/gateway/suspect"
+)
+
+// header precedes the message of each datagram. A receiver dates what the
+// sender knows by the stamp of its own that the sender echoes, so no
+// confirmation seems younger than it is, however long a datagram was on its
+// way.
+type header struct {
+	incarnation uint64 // of the sender
+	stamp       boottime.Instant
+	echoOf      uint64           // the receiver's incarnation
+	echo        boottime.Instant // the receiver's stamp that was heard last
+}
+
+const headerBytes = 32
+
+func (h header) append(b []byte) []byte {
+	b = binary.LittleEndian.AppendUint64(b, h.incarnation)
+	b = binary.LittleEndian.AppendUint64(b, uint64(h.stamp))
+	b = binary.LittleEndian.AppendUint64(b, h.echoOf)
+	return binary.LittleEndian.AppendUint64(b, uint64(h.echo))
+}
+
+func parseHeader(b []byte) (header, bool) {
+	if len(b) < headerBytes {
+		return header{}, false
+	}
+	return header{
+		incarnation: binary.LittleEndian.Uint64(b),
+		stamp:       boottime.Instant(binary.LittleEndian.Uint64(b[8:])),
+		echoOf:      binary.LittleEndian.Uint64(b[16:]),
+		echo:        boottime.Instant(binary.LittleEndian.Uint64(b[24:])),
+	}, true
+}
+
+// Status is what the daemon says of itself.
+type Status struct {
+	Ready   bool
+	Leaving bool
+}
+
+// Fetcher gets a newer state from a peer.
+type Fetcher interface {
+	Fetch(ctx context.Context, ip string, revision int64)
+}
+
+// Exchange sends and receives datagrams.
+type Exchange struct {
+	table    *Table
+	conn     *net.UDPConn
+	catalog  *catalog.Catalog
+	loads    *load.Table
+	suspects *suspect.Table
+	fetcher  Fetcher
+	status   func() Status
+
+	incarnation uint64
+	port        int
+	round       int
+}
+
+// Listen opens the socket at the address. All daemons use the same port.
+func Listen(addr *net.UDPAddr, t *Table, loads *load.Table, s *suspect.Table, f Fetcher, status func() Status) (*Exchange, error) {
+	conn, err := net.ListenUDP("udp4", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &Exchange{
+		table:       t,
+		conn:        conn,
+		catalog:     t.catalog,
+		loads:       loads,
+		suspects:    s,
+		fetcher:     f,
+		status:      status,
+		incarnation: rand.Uint64(),
+		port:        addr.Port,
+	}, nil
+}
+
+// Run exchanges datagrams until the context ends.
+func (e *Exchange) Run(ctx context.Context) {
+	go e.receive(ctx)
+	defer e.conn.Close()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		changed := e.catalog.Changed()
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-changed: // news are told at once
+		}
+		e.send()
+		e.loads.Expire()
+		timer.Reset(e.table.Interval())
+	}
+}
+
+// SendNow tells the peers at once, for a change of status.
+func (e *Exchange) SendNow() { e.send() }
+
+func (e *Exchange) send() {
+	body, err := json.Marshal(e.message())
+	if err != nil {
+		panic("peers: a message has no encoding: " + err.Error()) // its fields all have one
+	}
+	buf := make([]byte, 0, headerBytes+len(body))
+	for _, to := range e.table.targets() {
+		h := header{incarnation: e.incarnation, stamp: e.table.clock(), echoOf: to.incarnation, echo: to.stamp}
+		buf = append(h.append(buf[:0]), body...)
+		addr := &net.UDPAddr{IP: net.ParseIP(to.ip), Port: e.port}
+		// A datagram may be lost anyway; a peer that misses several notices.
+		_, _ = e.conn.WriteToUDP(buf, addr)
+	}
+}
+
+func (e *Exchange) message() *Message {
+	view := e.catalog.View()
+	status := e.status()
+	m := &Message{
+		Zone:     e.table.self.Zone,
+		Capacity: e.table.self.Capacity,
+		Ready:    status.Ready,
+		Leaving:  status.Leaving,
+		Revision: view.Revision,
+		Hash:     view.Hash,
+		AgeMS:    -1,
+		Alive:    e.table.names(e.round),
+		InFlight: e.loads.Own(),
+		Broken:   e.suspects.Own(),
+	}
+	e.table.mu.Lock()
+	m.Reading = e.table.reading
+	e.table.mu.Unlock()
+	if age, ok := e.catalog.Age(); ok {
+		m.AgeMS = age.Milliseconds() + 1
+	}
+	e.round += maxNamed
+	return m
+}
+
+func (e *Exchange) receive(ctx context.Context) {
+	buf := make([]byte, 64<<10)
+	for {
+		n, from, err := e.conn.ReadFromUDP(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // such as a refusal of an earlier datagram
+		}
+		e.handle(ctx, from.IP.String(), buf[:n])
+	}
+}
+
+func (e *Exchange) handle(ctx context.Context, ip string, b []byte) {
+	h, ok := parseHeader(b)
+	if !ok {
+		return
+	}
+	var m Message
+	if json.Unmarshal(b[headerBytes:], &m) != nil {
+		return // not from a daemon of this fleet
+	}
+	e.table.heardFrom(ip, h, &m)
+	e.loads.SetPeer(ip, m.InFlight)
+	e.suspects.Told(ip, m.Broken)
+	e.learn(ctx, ip, h, &m)
+}
+
+// learn takes over a confirmation, or fetches a state that is newer.
+func (e *Exchange) learn(ctx context.Context, ip string, h header, m *Message) {
+	if m.AgeMS < 0 {
+		return
+	}
+	if h.echoOf == e.incarnation && h.echo != 0 {
+		at := h.echo.Add(-time.Duration(m.AgeMS) * time.Millisecond)
+		if e.catalog.Confirm(m.Revision, m.Hash, at) {
+			return
+		}
+	}
+	if view := e.catalog.View(); m.Revision > view.Revision && m.Hash != view.Hash {
+		e.fetcher.Fetch(ctx, ip, m.Revision)
+	}
+}
--- /dev/null
+++ b/gateway/reader/reader.go
@@ -0,0 +1,247 @@
+// Package reader keeps the catalog up to date from the platform's store.
+//
+// Reading calls are paid, so few daemons read and the others are told. There
+// is no election: each daemon reads when what it knows is older than a bound
+// that grows with its rank among the daemons it hears. The first ranks read
+// regularly, and the others only when nobody tells them.
+package reader
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"cassialatch.dev/gateway/boottime"
+	"cassialatch.dev/gateway/catalog"
+	"cassialatch.dev/gateway/route"
+)
+
+// Update is what one poll of the store has found.
+type Update struct {
+	Revision  int64            // up to which the update is complete
+	SentAt    boottime.Instant // when the read was sent
+	Config    []byte           // the configuration document; nil if none was published
+	ConfigRev int64
+	Servers   []catalog.Server // sorted by ID
+}
+
+// Source reads the platform's store.
+type Source interface {
+	// Poll returns the complete state. It is not called concurrently.
+	Poll(ctx context.Context) (Update, error)
+	// DecodeConfig reads a configuration document.
+	DecodeConfig(raw []byte) (*route.Config, error)
+}
+
+// Ranker tells a daemon's place among those that can read, 0 being the first.
+type Ranker interface {
+	Rank() int
+	SetReading(ok bool)
+}
+
+// Log takes the reader's events.
+type Log interface {
+	StoreLost(err error, age time.Duration)
+	StoreBack(outage time.Duration)
+	ConfigRejected(err error, revision int64)
+	Adopted(origin string, revision, version int64, servers int, age time.Duration)
+}
+
+const (
+	tick = 50 * time.Millisecond
+	// regularReaders poll at pollInterval whatever they hear from others.
+	regularReaders = 2
+	pollInterval   = 500 * time.Millisecond
+	// standbyAge is the age from which the next rank reads too; each further
+	// rank waits rankStep longer, at most maxRankDelay.
+	standbyAge   = 900 * time.Millisecond
+	rankStep     = 60 * time.Millisecond
+	maxRankDelay = 500 * time.Millisecond
+	pollTimeout  = 800 * time.Millisecond
+	// outageAfter is how long polls fail before deletions found afterwards may
+	// be entries that only expired during the outage.
+	outageAfter = 700 * time.Millisecond
+	// returnGrace is how long such entries are kept after the store's return.
+	returnGrace = 2200 * time.Millisecond
+)
+
+// Reader polls the store.
+type Reader struct {
+	source  Source
+	catalog *catalog.Catalog
+	ranks   Ranker
+	clock   boottime.Clock
+	log     Log
+
+	lastOK    boottime.Instant // 0: never
+	failing   bool
+	failedAt  boottime.Instant
+	lapsed    []catalog.Server // kept though the store no longer lists them
+	keepUntil boottime.Instant
+}
+
+// New returns a reader that does nothing before Run.
+func New(s Source, c *catalog.Catalog, r Ranker, clock boottime.Clock, log Log) *Reader {
+	return &Reader{source: s, catalog: c, ranks: r, clock: clock, log: log}
+}
+
+// Run polls until the context ends.
+func (r *Reader) Run(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	var last boottime.Instant
+	for {
+		if r.due(r.clock().Sub(last)) {
+			last = r.clock()
+			r.poll(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// due tells whether the daemon has to read, given the time since its last poll.
+func (r *Reader) due(sincePoll time.Duration) bool {
+	age, known := r.catalog.Age()
+	if !known {
+		return sincePoll >= 2*tick
+	}
+	return sincePoll >= pollInterval && age >= maxAge(r.ranks.Rank())
+}
+
+// maxAge returns the age of what is known from which a rank reads.
+func maxAge(rank int) time.Duration {
+	if rank < regularReaders {
+		return pollInterval - tick
+	}
+	return standbyAge + min(time.Duration(rank-regularReaders)*rankStep, maxRankDelay)
+}
+
+func (r *Reader) poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	update, err := r.source.Poll(ctx)
+	if err != nil {
+		r.failed(err)
+		return
+	}
+	r.succeeded()
+	r.adopt(update)
+}
+
+func (r *Reader) failed(err error) {
+	r.ranks.SetReading(false)
+	if r.failing {
+		return
+	}
+	r.failing = true
+	r.failedAt = r.clock()
+	age, _ := r.catalog.Age()
+	r.log.StoreLost(err, age)
+}
+
+func (r *Reader) succeeded() {
+	now := r.clock()
+	r.ranks.SetReading(true)
+	if r.failing {
+		outage := now.Sub(r.failedAt)
+		r.log.StoreBack(outage)
+		if outage >= outageAfter {
+			r.keepUntil = now.Add(returnGrace)
+			r.lapsed = r.catalog.State().Servers
+		}
+	}
+	r.failing = false
+	r.lastOK = now
+}
+
+func (r *Reader) adopt(u Update) {
+	state := catalog.State{
+		Revision: u.Revision,
+		RawRev:   u.ConfigRev,
+		Raw:      u.Config,
+		Servers:  r.withLapsed(u.Servers),
+	}
+	table, err := r.table(&state)
+	if err != nil {
+		r.log.ConfigRejected(err, u.ConfigRev)
+	}
+	before := r.catalog.View()
+	if r.catalog.Adopt(state, table, u.SentAt) {
+		r.logChange("store", before)
+	}
+}
+
+func (r *Reader) logChange(origin string, before *catalog.View) {
+	after := r.catalog.View()
+	if after.Hash == before.Hash {
+		return
+	}
+	var version int64
+	if after.Table != nil {
+		version = after.Table.Version()
+	}
+	age, _ := r.catalog.Age()
+	r.log.Adopted(origin, after.Revision, version, len(after.Servers), age)
+}
+
+// AdoptFromPeer takes over a state that a peer has told.
+func (r *Reader) AdoptFromPeer(origin string, s catalog.State, at boottime.Instant) {
+	table, err := r.table(&s)
+	if err != nil {
+		r.log.ConfigRejected(err, s.RawRev)
+		return
+	}
+	before := r.catalog.View()
+	if r.catalog.Adopt(s, table, at) {
+		r.logChange(origin, before)
+	}
+}
+
+// table decodes the configuration document unless it is the one in force.
+func (r *Reader) table(s *catalog.State) (*route.Table, error) {
+	if len(s.Raw) == 0 || s.RawRev <= r.catalog.State().RawRev {
+		return nil, nil
+	}
+	c, err := r.source.DecodeConfig(s.Raw)
+	if err != nil {
+		return nil, err
+	}
+	return route.NewTable(c), nil
+}
+
+// withLapsed adds the servers that were known before an outage and may have
+// expired only because of it.
+func (r *Reader) withLapsed(listed []catalog.Server) []catalog.Server {
+	if r.lapsed == nil {
+		return listed
+	}
+	if r.clock() >= r.keepUntil {
+		r.lapsed = nil
+		return listed
+	}
+	all := slices.Clone(listed)
+	for _, old := range r.lapsed {
+		if !contains(listed, old) {
+			all = append(all, old)
+		}
+	}
+	slices.SortFunc(all, func(a, b catalog.Server) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+// contains tells whether a listed server has the old one's id or address, so
+// that the old one is back or replaced.
+func contains(listed []catalog.Server, old catalog.Server) bool {
+	return slices.ContainsFunc(listed, func(s catalog.Server) bool {
+		return s.ID == old.ID || s.Address == old.Address
+	})
+}
