placement, warm: servers that hold most of the prompt first, told between daemons

Change: an index of which server has which part, fed by own and peers' placements; bound 1.9 x mean + 2.5 instead of 1.35 x mean + 2.

--- a/gateway/catalog/catalog.go
+++ b/gateway/catalog/catalog.go
@@ -36,6 +36,11 @@
 	Born int64
 }
 
+// Tag names the incarnation in few bits, for hints.
+func (s *Server) Tag() uint32 {
+	return uint32(xxhash.Sum64String(s.ID) + uint64(s.Born))
+}
+
 // Incarnation returns the server's incarnation.
 func (s *Server) Incarnation() Incarnation { return Incarnation{s.ID, s.Born} }
 
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"cassialatch.dev/gateway/retry"
 	"cassialatch.dev/gateway/suspect"
 	"cassialatch.dev/gateway/upstream"
+	"cassialatch.dev/gateway/warm"
 )
 
 // Adapter is what a deployment's adapter provides.
@@ -63,6 +64,7 @@
 	health   *health.Table
 	pool     *upstream.Pool
 	suspects *suspect.Table
+	warm     *warm.Index
 	metrics  *metrics.Registry
 	handler  *ingress.Handler
 	callers  *ingress.Server
@@ -89,6 +91,7 @@
 		health:   health.New(time.Now),
 		pool:     upstream.NewPool(a.Dialect),
 		suspects: suspect.New(time.Now),
+		warm:     warm.New(time.Now),
 		metrics:  metrics.New(),
 	}
 	d.peers = peers.NewTable(peers.Self{
@@ -103,6 +106,7 @@
 		Health:   d.health,
 		Budget:   retry.New(retry.Options(s.Retry), d.peers.FleetSize, time.Now),
 		Suspects: d.suspects,
+		Warm:     d.warm,
 		Fleet:    d.peers.FleetSize,
 		Recorder: d,
 		Settings: ingress.Settings{Zone: s.Zone, KeyLease: s.KeyLease},
@@ -191,7 +195,7 @@
 	if err != nil {
 		return err
 	}
-	d.exchange, err = peers.Listen(addr, d.peers, d.loads, d.suspects, fetcher, d.status)
+	d.exchange, err = peers.Listen(addr, d.peers, d.loads, d.suspects, d.warm, fetcher, d.status)
 	if err != nil {
 		return err
 	}
@@ -254,9 +258,12 @@
 		}
 		view := d.catalog.View()
 		listed := make(map[string]bool, len(view.Servers))
-		for i := range view.Servers {
+		holders := make(map[warm.Holder]bool, len(view.Servers))
+		for i, server := range view.Servers {
 			listed[i.ID] = true
+			holders[warm.Holder(server.Tag())] = true
 		}
+		d.warm.Expire(func(h warm.Holder) bool { return holders[h] })
 		d.pool.Expire(func(id string) bool { return listed[id] })
 		d.health.Expire()
 		if view.Table != nil {
--- a/gateway/eventlog/log.go
+++ b/gateway/eventlog/log.go
@@ -54,6 +54,9 @@
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (a attempt) MarshalZerologObject(e *zerolog.Event) {
 	e.Str("server", a.Server).Int("in_flight", a.InFlight).Int64("took_ms", a.Took.Milliseconds())
+	if a.Missing != 0 {
+		e.Int("missing_tokens", a.Missing)
+	}
 	if a.Status != 0 {
 		e.Int("status", a.Status)
 	}
--- a/gateway/ingress/handler.go
+++ b/gateway/ingress/handler.go
@@ -22,6 +22,7 @@
 	"cassialatch.dev/gateway/route"
 	"cassialatch.dev/gateway/suspect"
 	"cassialatch.dev/gateway/upstream"
+	"cassialatch.dev/gateway/warm"
 )
 
 // Settings of the handler.
@@ -46,6 +47,7 @@
 	Health   *health.Table
 	Budget   *retry.Budget
 	Suspects *suspect.Table
+	Warm     *warm.Index
 	Fleet    func() int // daemons that share the servers' connections
 	Recorder Recorder
 	Settings Settings
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -46,6 +46,7 @@
 type Attempt struct {
 	Server   string
 	InFlight int // requests on the server when it was chosen
+	Missing  int // tokens of the prompt's shared parts that it was thought to compute
 	Status   int
 	Reason   Reason
 	Detail   string // of a failure
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -11,6 +11,7 @@
 	"cassialatch.dev/gateway/placement"
 	"cassialatch.dev/gateway/route"
 	"cassialatch.dev/gateway/upstream"
+	"cassialatch.dev/gateway/warm"
 )
 
 // maxSends bounds the servers that one request is offered to, refusals
@@ -32,7 +33,7 @@
 			q.rejectRunning(w, reject)
 			return
 		}
-		server, inFlight := q.choose()
+		server, chosen := q.choose()
 		if server == nil {
 			q.giveUp(w, ReasonNoServer, noServerRetry)
 			return
@@ -41,7 +42,7 @@
 			q.giveUp(w, ReasonBudget, fullRetry)
 			return
 		}
-		again := q.attempt(ctx, w, server, inFlight)
+		again := q.attempt(ctx, w, server, chosen)
 		if q.finished {
 			return
 		}
@@ -86,7 +87,7 @@
 }
 
 // choose picks the server for the next attempt.
-func (q *query) choose() (*catalog.Server, int) {
+func (q *query) choose() (*catalog.Server, placement.Candidate) {
 	servers := q.h.Catalog.View().ByService[q.service.Name]
 	candidates, resting := q.candidates(servers)
 	if len(candidates) == 0 {
@@ -99,15 +100,15 @@
 		i = placement.Least(candidates, q.h.Settings.Zone)
 	}
 	if i < 0 {
-		return nil, 0
+		return nil, placement.Candidate{}
 	}
 	chosen := candidates[i]
 	for _, s := range servers {
 		if s.ID == chosen.ID {
-			return s, chosen.InFlight
+			return s, chosen
 		}
 	}
-	return nil, 0
+	return nil, placement.Candidate{}
 }
 
 // candidates returns the servers that were not tried, those that rest apart.
@@ -118,12 +119,13 @@
 		ids[i] = s.ID
 	}
 	q.h.Loads.InFlight(ids, counts)
+	missing := q.missing(servers)
 	for i, s := range servers {
 		if q.tried[s.ID] {
 			continue
 		}
 		penalty, rests := q.h.Health.Penalty(s.ID)
-		c := placement.Candidate{ID: s.ID, Zone: s.Zone, InFlight: counts[i], Penalty: penalty}
+		c := placement.Candidate{ID: s.ID, Zone: s.Zone, InFlight: counts[i], Penalty: penalty, Missing: missing[i]}
 		if rests {
 			resting = append(resting, c)
 		} else {
@@ -133,14 +135,30 @@
 	return ready, resting
 }
 
+// missing returns how much of the prompt each server has to compute.
+func (q *query) missing(servers []*catalog.Server) []int {
+	missing := make([]int, len(servers))
+	shared := q.call.SharedParts()
+	if len(shared) == 0 {
+		return missing
+	}
+	holders := make([]warm.Holder, len(servers))
+	for i, s := range servers {
+		holders[i] = warm.Holder(s.Tag())
+	}
+	q.h.Warm.Missing(shared, holders, missing)
+	return missing
+}
+
 // attempt sends the request to one server. It returns whether another server
 // may be tried.
-func (q *query) attempt(ctx context.Context, w http.ResponseWriter, s *catalog.Server, inFlight int) bool {
+func (q *query) attempt(ctx context.Context, w http.ResponseWriter, s *catalog.Server, chosen placement.Candidate) bool {
 	start := time.Now()
 	q.tried[s.ID] = true
-	q.rec.Attempts = append(q.rec.Attempts, Attempt{Server: s.ID, InFlight: inFlight})
+	q.rec.Attempts = append(q.rec.Attempts, Attempt{Server: s.ID, InFlight: chosen.InFlight, Missing: chosen.Missing})
 	a := q.last()
 	q.h.Loads.Begin(s.ID)
+	q.h.Warm.Placed(q.call.SharedParts(), warm.Holder(s.Tag()))
 	defer func() {
 		q.h.Loads.End(s.ID)
 		a.Took = time.Since(start)
--- a/gateway/peers/exchange.go
+++ b/gateway/peers/exchange.go
@@ -13,6 +13,7 @@
 	"cassialatch.dev/gateway/catalog"
 	"cassialatch.dev/gateway/load"
 	"cassialatch.dev/gateway/suspect"
+	"cassialatch.dev/gateway/warm"
 )
 
 // header precedes the message of each datagram. A receiver dates what the
@@ -65,6 +66,7 @@
 	catalog  *catalog.Catalog
 	loads    *load.Table
 	suspects *suspect.Table
+	warm     *warm.Index
 	fetcher  Fetcher
 	status   func() Status
 
@@ -74,7 +76,7 @@
 }
 
 // Listen opens the socket at the address. All daemons use the same port.
-func Listen(addr *net.UDPAddr, t *Table, loads *load.Table, s *suspect.Table, f Fetcher, status func() Status) (*Exchange, error) {
+func Listen(addr *net.UDPAddr, t *Table, loads *load.Table, s *suspect.Table, w *warm.Index, f Fetcher, status func() Status) (*Exchange, error) {
 	conn, err := net.ListenUDP("udp4", addr)
 	if err != nil {
 		return nil, err
@@ -85,6 +87,7 @@
 		catalog:     t.catalog,
 		loads:       loads,
 		suspects:    s,
+		warm:        w,
 		fetcher:     f,
 		status:      status,
 		incarnation: rand.Uint64(),
@@ -144,6 +147,7 @@
 		Alive:    e.table.names(e.round),
 		InFlight: e.loads.Own(),
 		Broken:   e.suspects.Own(),
+		Warm:     packWarm(e.warm.Tell()),
 	}
 	e.table.mu.Lock()
 	m.Reading = e.table.reading
@@ -181,6 +185,7 @@
 	e.table.heardFrom(ip, h, &m)
 	e.loads.SetPeer(ip, m.InFlight)
 	e.suspects.Told(ip, m.Broken)
+	e.warm.Told(unpackWarm(m.Warm))
 	e.learn(ctx, ip, h, &m)
 }
 
@@ -199,3 +204,22 @@
 		e.fetcher.Fetch(ctx, ip, m.Revision)
 	}
 }
+
+// packWarm flattens entries, which is shorter than objects.
+func packWarm(entries []warm.Entry) []uint32 {
+	flat := make([]uint32, 0, 3*len(entries))
+	for _, e := range entries {
+		flat = append(flat, uint32(e.Part), uint32(e.Holder), e.AgeMS)
+	}
+	return flat
+}
+
+func unpackWarm(flat []uint32) []warm.Entry {
+	entries := make([]warm.Entry, 0, len(flat)/3)
+	for i := 0; i+2 < len(flat); i += 3 {
+		entries = append(entries, warm.Entry{
+			Part: warm.PartKey(flat[i]), Holder: warm.Holder(flat[i+1]), AgeMS: flat[i+2],
+		})
+	}
+	return entries
+}
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -50,6 +50,7 @@
 	Alive    []string        `json:"p,omitempty"`
 	InFlight map[string]int  `json:"i,omitempty"`
 	Broken   []suspect.Count `json:"b,omitempty"`
+	Warm     []uint32        `json:"c,omitempty"` // triples: part, holder, age in ms
 }
 
 // Peer is another daemon.
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -1,11 +1,10 @@
-// Package placement chooses the backend server for a request: where the
-// longest part of its prompt is likely cached, as long as that server's load
-// stays below a bound that grows with the mean.
+// Package placement chooses the backend server for a request: the one that has
+// to compute the least of its prompt, among those whose load stays below a
+// bound that grows with the mean.
 package placement
 
 import (
 	"math"
-	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -18,8 +17,12 @@
 	Zone     string
 	InFlight int     // requests of all daemons together
 	Penalty  float64 // of servers that are slow or fail, in requests
+	Missing  int     // tokens of the prompt's shared parts that it has to compute
 }
 
+// load is what a candidate is weighed by.
+func (c *Candidate) load() float64 { return float64(c.InFlight) + c.Penalty }
+
 // Bound is how far a server's load may lie above the mean before requests go
 // elsewhere: Factor times the mean, and Slack requests.
 type Bound struct {
@@ -29,20 +32,27 @@
 
 // ForPrompt bounds the load of servers that cache prompts; it stays below the
 // multiple of the mean that operators allow.
-var ForPrompt = Bound{Factor: 1.35, Slack: 2}
+var ForPrompt = Bound{Factor: 1.9, Slack: 2.5}
 
 // limit returns the bound on the load that a request may meet.
-func (b Bound) limit(candidates []Candidate) float64 {
+func (b Bound) limit(mean float64) float64 { return b.Factor*mean + b.Slack }
+
+func meanLoad(candidates []Candidate) float64 {
 	total := 0
 	for i := range candidates {
 		total += candidates[i].InFlight
 	}
-	mean := float64(total) / float64(len(candidates))
-	return math.Ceil(b.Factor*mean) + b.Slack
+	return float64(total) / float64(len(candidates))
 }
 
-// Prompt chooses a server for a request with a prompt, by the rendezvous order
-// of the prompt's shared parts. It returns the index of the choice.
+// tokensPerRequest is how many tokens more a server may have to compute for
+// each request in flight that it has less than another.
+const tokensPerRequest = 60
+
+// Prompt chooses a server for a request with a prompt. Where several servers
+// are as good, the rendezvous order of the prompt's last shared part decides,
+// so that daemons that know the same choose the same. It returns the index of
+// the choice, -1 if there is no candidate.
 func Prompt(candidates []Candidate, shared []call.Part, b Bound) int {
 	if len(candidates) == 0 {
 		return -1
@@ -51,36 +61,30 @@
 		return Least(candidates, "")
 	}
 	key := shared[len(shared)-1].ID
-	limit := b.limit(candidates)
-	order := rendezvous(candidates, key)
-	for _, i := range order {
-		if float64(candidates[i].InFlight)+candidates[i].Penalty < limit {
-			return i
+	mean := meanLoad(candidates)
+	limit := b.limit(mean)
+	best, bestCost := -1, math.Inf(1)
+	var bestWeight uint64
+	for i := range candidates {
+		c := &candidates[i]
+		if c.load() >= limit {
+			continue
+		}
+		cost := float64(c.Missing) + tokensPerRequest*math.Max(0, c.load()-mean)
+		weight := rendezvous(key, c.ID)
+		if cost < bestCost || cost == bestCost && weight > bestWeight {
+			best, bestCost, bestWeight = i, cost, weight
 		}
 	}
-	return Least(candidates, "")
-}
-
-// rendezvous returns the candidates' indexes by falling weight for the key.
-func rendezvous(candidates []Candidate, key uint64) []int {
-	weights := make([]uint64, len(candidates))
-	order := make([]int, len(candidates))
-	for i := range candidates {
-		weights[i] = mix(key ^ xxhash.Sum64String(candidates[i].ID))
-		order[i] = i
+	if best < 0 {
+		return Least(candidates, "")
 	}
-	slices.SortFunc(order, func(a, b int) int {
-		switch {
-		case weights[a] > weights[b]:
-			return -1
-		case weights[a] < weights[b]:
-			return 1
-		}
-		return 0
-	})
-	return order
+	return best
 }
 
+// rendezvous returns the weight of a server for a key.
+func rendezvous(key uint64, id string) uint64 { return mix(key ^ xxhash.Sum64String(id)) }
+
 // mix spreads the bits of a 64-bit number (the finalizer of SplitMix64).
 func mix(x uint64) uint64 {
 	x ^= x >> 30
@@ -94,11 +98,12 @@
 // have and still be preferred.
 const zoneBonus = 0.5
 
-// Least chooses the least loaded server, with a preference for a zone.
+// Least chooses the least loaded server, with a preference for a zone; -1 if
+// there is none.
 func Least(candidates []Candidate, zone string) int {
 	best, bestCost := -1, math.Inf(1)
 	for i := range candidates {
-		cost := float64(candidates[i].InFlight) + candidates[i].Penalty
+		cost := candidates[i].load()
 		if candidates[i].Zone != zone {
 			cost += zoneBonus
 		}
