--- a/gateway/eventlog/log.go
+++ b/gateway/eventlog/log.go
@@ -53,7 +53,7 @@
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (a attempt) MarshalZerologObject(e *zerolog.Event) {
-	e.Str("server", a.Server).Int("in_flight", a.InFlight).Int64("took_ms", a.Took.Milliseconds())
+	e.Str("server", a.Server).Str("cause", string(a.Cause)).Int("in_flight", a.InFlight).Int64("took_ms", a.Took.Milliseconds())
 	if a.Missing != 0 {
 		e.Int("missing_tokens", a.Missing)
 	}
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -1,6 +1,10 @@
 package ingress
 
-import "time"
+import (
+	"time"
+
+	"cassialatch.dev/gateway/placement"
+)
 
 // Outcome tells what became of a request.
 type Outcome string
@@ -47,6 +51,7 @@
 	Server   string
 	InFlight int // requests on the server when it was chosen
 	Missing  int // tokens of the prompt's shared parts that it was thought to compute
+	Cause    placement.Cause
 	Status   int
 	Reason   Reason
 	Detail   string // of a failure
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -86,29 +86,35 @@
 	return &q.rec.Attempts[len(q.rec.Attempts)-1]
 }
 
+// choice is the server that was chosen, and why.
+type choice struct {
+	placement.Candidate
+	cause placement.Cause
+}
+
 // choose picks the server for the next attempt.
-func (q *query) choose() (*catalog.Server, placement.Candidate) {
+func (q *query) choose() (*catalog.Server, choice) {
 	servers := q.h.Catalog.View().ByService[q.service.Name]
 	candidates, resting := q.candidates(servers)
 	if len(candidates) == 0 {
 		candidates = resting
 	}
-	var i int
+	i, cause := 0, placement.CauseLoad
 	if len(q.call.Parts) > 0 {
-		i = placement.Prompt(candidates, q.call.SharedParts(), placement.ForPrompt)
+		i, cause = placement.Prompt(candidates, q.call.SharedParts(), placement.ForPrompt)
 	} else {
 		i = placement.Least(candidates, q.h.Settings.Zone)
 	}
 	if i < 0 {
-		return nil, placement.Candidate{}
+		return nil, choice{}
 	}
 	chosen := candidates[i]
 	for _, s := range servers {
 		if s.ID == chosen.ID {
-			return s, chosen
+			return s, choice{chosen, cause}
 		}
 	}
-	return nil, placement.Candidate{}
+	return nil, choice{}
 }
 
 // candidates returns the servers that were not tried, those that rest apart.
@@ -119,13 +125,13 @@
 		ids[i] = s.ID
 	}
 	q.h.Loads.InFlight(ids, counts)
-	missing := q.missing(servers)
+	missing, usage := q.prompts(servers)
 	for i, s := range servers {
 		if q.tried[s.ID] {
 			continue
 		}
 		penalty, rests := q.h.Health.Penalty(s.ID)
-		c := placement.Candidate{ID: s.ID, Zone: s.Zone, InFlight: counts[i], Penalty: penalty, Missing: missing[i]}
+		c := placement.Candidate{ID: s.ID, Zone: s.Zone, InFlight: counts[i], Penalty: penalty, Missing: missing[i], Usage: usage[i]}
 		if rests {
 			resting = append(resting, c)
 		} else {
@@ -135,27 +141,30 @@
 	return ready, resting
 }
 
-// missing returns how much of the prompt each server has to compute.
-func (q *query) missing(servers []*catalog.Server) []int {
-	missing := make([]int, len(servers))
+// prompts returns how much of the prompt each server has to compute, and how
+// many prompts it has got of late.
+func (q *query) prompts(servers []*catalog.Server) (missing []int, usage []float64) {
+	missing = make([]int, len(servers))
+	usage = make([]float64, len(servers))
 	shared := q.call.SharedParts()
 	if len(shared) == 0 {
-		return missing
+		return missing, usage
 	}
 	holders := make([]warm.Holder, len(servers))
 	for i, s := range servers {
 		holders[i] = warm.Holder(s.Tag())
 	}
 	q.h.Warm.Missing(shared, holders, missing)
-	return missing
+	q.h.Warm.Usage(holders, usage)
+	return missing, usage
 }
 
 // attempt sends the request to one server. It returns whether another server
 // may be tried.
-func (q *query) attempt(ctx context.Context, w http.ResponseWriter, s *catalog.Server, chosen placement.Candidate) bool {
+func (q *query) attempt(ctx context.Context, w http.ResponseWriter, s *catalog.Server, chosen choice) bool {
 	start := time.Now()
 	q.tried[s.ID] = true
-	q.rec.Attempts = append(q.rec.Attempts, Attempt{Server: s.ID, InFlight: chosen.InFlight, Missing: chosen.Missing})
+	q.rec.Attempts = append(q.rec.Attempts, Attempt{Server: s.ID, InFlight: chosen.InFlight, Missing: chosen.Missing, Cause: chosen.cause})
 	a := q.last()
 	q.h.Loads.Begin(s.ID)
 	q.h.Warm.Placed(q.call.SharedParts(), warm.Holder(s.Tag()))
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -18,8 +18,21 @@
 	InFlight int     // requests of all daemons together
 	Penalty  float64 // of servers that are slow or fail, in requests
 	Missing  int     // tokens of the prompt's shared parts that it has to compute
+	Usage    float64 // prompts that it has got of late
 }
 
+// Cause tells why a server was chosen.
+type Cause string
+
+// Causes of a choice.
+const (
+	CauseWarm  Cause = "warm"  // it has all shared parts
+	CauseCold  Cause = "cold"  // no server has all shared parts
+	CauseBound Cause = "bound" // those that have them are at their bound
+	CauseCost  Cause = "cost"  // those that have them are busier than the parts are worth
+	CauseLoad  Cause = "load"  // there is no prompt, or all servers are at their bound
+)
+
 // load is what a candidate is weighed by.
 func (c *Candidate) load() float64 { return float64(c.InFlight) + c.Penalty }
 
@@ -37,32 +50,41 @@
 // limit returns the bound on the load that a request may meet.
 func (b Bound) limit(mean float64) float64 { return b.Factor*mean + b.Slack }
 
-func meanLoad(candidates []Candidate) float64 {
-	total := 0
+// means returns the mean load and the mean usage.
+func means(candidates []Candidate) (load, usage float64) {
 	for i := range candidates {
-		total += candidates[i].InFlight
+		load += float64(candidates[i].InFlight)
+		usage += candidates[i].Usage
 	}
-	return float64(total) / float64(len(candidates))
+	n := float64(len(candidates))
+	return load / n, usage / n
 }
 
-// tokensPerRequest is how many tokens more a server may have to compute for
-// each request in flight that it has less than another.
-const tokensPerRequest = 60
+const (
+	// tokensPerRequest is how many tokens more a server may have to compute for
+	// each request in flight that it has less than another. Short prompts so
+	// leave a busy server before long ones do.
+	tokensPerRequest = 120
+	// tokensPerUse is the same for each prompt that a server has got of late.
+	// It spreads prompts that no server has yet.
+	tokensPerUse = 30
+)
 
 // Prompt chooses a server for a request with a prompt. Where several servers
 // are as good, the rendezvous order of the prompt's last shared part decides,
 // so that daemons that know the same choose the same. It returns the index of
 // the choice, -1 if there is no candidate.
-func Prompt(candidates []Candidate, shared []call.Part, b Bound) int {
+func Prompt(candidates []Candidate, shared []call.Part, b Bound) (int, Cause) {
 	if len(candidates) == 0 {
-		return -1
+		return -1, CauseLoad
 	}
 	if len(shared) == 0 {
-		return Least(candidates, "")
+		return Least(candidates, ""), CauseLoad
 	}
-	key := shared[len(shared)-1].ID
-	mean := meanLoad(candidates)
+	mean, usage := means(candidates)
 	limit := b.limit(mean)
+	known := anyWarm(candidates, limit)
+	key := shared[len(shared)-1].ID
 	best, bestCost := -1, math.Inf(1)
 	var bestWeight uint64
 	for i := range candidates {
@@ -71,15 +93,40 @@
 			continue
 		}
 		cost := float64(c.Missing) + tokensPerRequest*math.Max(0, c.load()-mean)
+		if !known {
+			cost += tokensPerUse * math.Max(0, c.Usage-usage)
+		}
 		weight := rendezvous(key, c.ID)
 		if cost < bestCost || cost == bestCost && weight > bestWeight {
 			best, bestCost, bestWeight = i, cost, weight
 		}
 	}
 	if best < 0 {
-		return Least(candidates, "")
+		return Least(candidates, ""), CauseLoad
 	}
-	return best
+	return best, cause(candidates, best, known)
+}
+
+func cause(candidates []Candidate, chosen int, known bool) Cause {
+	switch {
+	case candidates[chosen].Missing == 0:
+		return CauseWarm
+	case known:
+		return CauseCost
+	case anyWarm(candidates, math.Inf(1)):
+		return CauseBound
+	}
+	return CauseCold
+}
+
+// anyWarm tells whether a server below the limit has all shared parts.
+func anyWarm(candidates []Candidate, limit float64) bool {
+	for i := range candidates {
+		if candidates[i].Missing == 0 && candidates[i].load() < limit {
+			return true
+		}
+	}
+	return false
 }
 
 // rendezvous returns the weight of a server for a key.
--- a/gateway/warm/warm.go
+++ b/gateway/warm/warm.go
@@ -4,6 +4,7 @@
 package warm
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -14,7 +15,8 @@
 	// ttl is how long a part that nobody asks for is remembered.
 	ttl         = 2 * time.Minute
 	maxParts    = 8192
-	maxHolders  = 6  // servers remembered for each part
+	maxHolders  = 6 // servers remembered for each part
+	usageDecay  = 8 * time.Second
 	maxRecent   = 64 // own placements that wait to be told
 	refreshSize = 16 // older entries told with each message
 )
@@ -32,7 +34,7 @@
 type Entry struct {
 	Part   PartKey
 	Holder Holder
-	AgeMS  uint32 // since it was last used
+	AgeMS  uint32 // since it was last used; 0 tells of a new placement
 }
 
 type holding struct {
@@ -49,11 +51,22 @@
 	order  []PartKey // in which entries are told and swept
 	cursor int
 	recent []Entry // own placements since the last Tell
+	usage  map[Holder]*usage
+}
+
+// usage is how many prompts a holder has got of late, decayed exponentially.
+type usage struct {
+	count float64
+	at    time.Time
+}
+
+func (u *usage) decayed(now time.Time) float64 {
+	return u.count * math.Exp(-now.Sub(u.at).Seconds()/usageDecay.Seconds())
 }
 
 // New returns an empty index.
 func New(now func() time.Time) *Index {
-	return &Index{now: now, parts: make(map[PartKey][]holding)}
+	return &Index{now: now, parts: make(map[PartKey][]holding), usage: make(map[Holder]*usage)}
 }
 
 // Placed notes that a prompt with these shared parts was sent to a server.
@@ -61,8 +74,12 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := x.now()
-	for _, p := range shared {
+	x.use(h, now)
+	for i, p := range shared {
 		x.note(KeyOf(p), h, now)
+		if i < len(shared)-1 {
+			continue // peers count one use a prompt, and learn the others in turn
+		}
 		if len(x.recent) < maxRecent {
 			x.recent = append(x.recent, Entry{Part: KeyOf(p), Holder: h})
 		}
@@ -75,6 +92,9 @@
 	defer x.mu.Unlock()
 	now := x.now()
 	for _, e := range entries {
+		if e.AgeMS == 0 {
+			x.use(e.Holder, now)
+		}
 		age := time.Duration(e.AgeMS) * time.Millisecond
 		if age < ttl {
 			x.note(e.Part, e.Holder, now.Add(-age))
@@ -82,6 +102,30 @@
 	}
 }
 
+// use counts a prompt. x.mu is held.
+func (x *Index) use(h Holder, now time.Time) {
+	u, ok := x.usage[h]
+	if !ok {
+		u = &usage{}
+		x.usage[h] = u
+	}
+	u.count = u.decayed(now) + 1
+	u.at = now
+}
+
+// Usage sets how many prompts each holder has got of late.
+func (x *Index) Usage(holders []Holder, counts []float64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := x.now()
+	for i, h := range holders {
+		counts[i] = 0
+		if u, ok := x.usage[h]; ok {
+			counts[i] = u.decayed(now)
+		}
+	}
+}
+
 // note remembers a holder. x.mu is held.
 func (x *Index) note(p PartKey, h Holder, used time.Time) {
 	list, known := x.parts[p]
@@ -156,7 +200,7 @@
 		part := x.order[x.cursor]
 		for _, held := range x.parts[part] {
 			age := max(now.Sub(held.used), 0)
-			entries = append(entries, Entry{Part: part, Holder: held.holder, AgeMS: uint32(age.Milliseconds())})
+			entries = append(entries, Entry{Part: part, Holder: held.holder, AgeMS: max(uint32(age.Milliseconds()), 1)})
 		}
 	}
 	return entries
@@ -184,4 +228,9 @@
 		kept = append(kept, part)
 	}
 	x.order = kept
+	for h := range x.usage {
+		if !listed(h) {
+			delete(x.usage, h)
+		}
+	}
 }
