cachescan, ingress: caches are listed after a restart of all daemons; missing prompt parts are fetched

Change: new daemons without a settled peer ask each server for its list, one daemon a server; a server that lacks parts gets the address of one that has them.

--- a/cassialatchgw/main.go
+++ b/cassialatchgw/main.go
@@ -35,6 +35,7 @@
 	d := daemon.New(s.Settings, daemon.Adapter{
 		Dialect:   platform.Dialect{},
 		Source:    platform.NewSource(s.Store, boottime.Now),
+		Lister:    platform.Lister{},
 		Entry:     platform.Entry,
 		Readiness: platform.Readiness,
 		Reload:    reload,
--- a/gateway/call/call.go
+++ b/gateway/call/call.go
@@ -40,6 +40,7 @@
 	Deadline    time.Duration
 	Priority    int    // 0 is the most urgent
 	ResumeAfter string // id of the last event that was passed on; empty for a whole answer
+	FetchFrom   string // address of a server whose cache has more of the prompt; empty: none
 }
 
 // Load is what a backend server says about itself with an answer.
--- a/gateway/catalog/catalog.go
+++ b/gateway/catalog/catalog.go
@@ -57,8 +57,9 @@
 type View struct {
 	Revision  int64
 	Hash      uint64
-	Table     *route.Table // nil until a configuration is known
-	ByService map[string][]*Server
+	Table     *route.Table         // nil until a configuration is known
+	ByService map[string][]*Server // those that take new requests
+	Leaving   map[string][]*Server // those that are draining, by service
 	Servers   map[Incarnation]*Server
 }
 
@@ -179,14 +180,17 @@
 		Hash:      s.Hash,
 		Table:     table,
 		ByService: make(map[string][]*Server),
+		Leaving:   make(map[string][]*Server),
 		Servers:   make(map[Incarnation]*Server, len(s.Servers)),
 	}
 	for i := range s.Servers {
 		srv := &s.Servers[i]
 		v.Servers[srv.Incarnation()] = srv
-		if !srv.Draining {
-			v.ByService[srv.Service] = append(v.ByService[srv.Service], srv)
+		if srv.Draining {
+			v.Leaving[srv.Service] = append(v.Leaving[srv.Service], srv)
+			continue
 		}
+		v.ByService[srv.Service] = append(v.ByService[srv.Service], srv)
 	}
 	return v
 }
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"cassialatch.dev/gateway/boottime"
+	"cassialatch.dev/gateway/cachescan"
 	"cassialatch.dev/gateway/call"
 	"cassialatch.dev/gateway/catalog"
 	"cassialatch.dev/gateway/directory"
@@ -32,6 +33,7 @@
 type Adapter struct {
 	Dialect call.Dialect
 	Source  reader.Source
+	Lister  cachescan.Lister
 	// Entry serves callers that ask where to connect.
 	Entry func(d *directory.Directory) http.Handler
 	// Readiness serves checks of readiness.
@@ -60,6 +62,7 @@
 	peers    *peers.Table
 	exchange *peers.Exchange
 	reader   *reader.Reader
+	scanner  *cachescan.Scanner
 	loads    *load.Table
 	health   *health.Table
 	pool     *upstream.Pool
@@ -97,6 +100,7 @@
 	d.peers = peers.NewTable(peers.Self{
 		IP: s.IP, Zone: s.Zone, Capacity: s.Cores, Seeds: hosts(s.Seeds),
 	}, boottime.Now, c)
+	d.scanner = cachescan.New(a.Lister, c, d.warm, d.peers, s.IP, d.log)
 	d.reader = reader.New(a.Source, c, d.peers, boottime.Now, d.log)
 	d.handler = &ingress.Handler{
 		Dialect:  a.Dialect,
@@ -163,7 +167,7 @@
 }
 
 func (d *Daemon) status() peers.Status {
-	return peers.Status{Ready: d.ready(), Leaving: d.draining.Load()}
+	return peers.Status{Ready: d.ready(), Leaving: d.draining.Load(), Settled: d.scanner.Settled()}
 }
 
 // Run serves until the context ends, then drains. It returns when the process
@@ -178,6 +182,7 @@
 	go d.reader.Run(background)
 	go d.exchange.Run(background)
 	go d.maintain(background)
+	go d.scanner.Run(background)
 	<-ctx.Done()
 	d.drain()
 	return nil
--- a/gateway/eventlog/log.go
+++ b/gateway/eventlog/log.go
@@ -57,6 +57,9 @@
 	if a.Missing != 0 {
 		e.Int("missing_tokens", a.Missing)
 	}
+	if a.Fetched != "" {
+		e.Str("fetch_from", a.Fetched)
+	}
 	if a.Status != 0 {
 		e.Int("status", a.Status)
 	}
@@ -90,6 +93,15 @@
 		Int64("confirmed_ms", age.Milliseconds()).Msg("")
 }
 
+// CacheListed implements cachescan.Log.
+func (l *Log) CacheListed(server string, parts int, err error) {
+	e := l.z.Info()
+	if err != nil {
+		e = l.z.Warn().Err(err)
+	}
+	e.Str("event", "cache_listed").Str("server", server).Int("parts", parts).Msg("")
+}
+
 // Lifecycle logs a step in the daemon's life.
 func (l *Log) Lifecycle(event, detail string) {
 	l.z.Info().Str("event", event).Str("detail", detail).Int("pid", os.Getpid()).Msg("")
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -52,6 +52,7 @@
 	InFlight int // requests on the server when it was chosen
 	Missing  int // tokens of the prompt's shared parts that it was thought to compute
 	Cause    placement.Cause
+	Fetched  string // server whose cache has the missing tokens; empty: none
 	Status   int
 	Reason   Reason
 	Detail   string // of a failure
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"cassialatch.dev/gateway/call"
@@ -159,6 +160,34 @@
 	return missing, usage
 }
 
+// minFetch is the least number of tokens worth a transfer between caches.
+const minFetch = 64
+
+// fetchSource returns the server whose cache has most of what a server lacks of
+// the prompt; nil if none has enough. Servers that are leaving may be asked.
+func (q *query) fetchSource(s *catalog.Server, missing int) *catalog.Server {
+	if missing < minFetch {
+		return nil
+	}
+	view := q.h.Catalog.View()
+	sources := slices.Concat(view.ByService[q.service.Name], view.Leaving[q.service.Name])
+	lacks, _ := q.prompts(sources)
+	var best *catalog.Server
+	least := missing - minFetch
+	for i, source := range sources {
+		if source.ID == s.ID || lacks[i] > least {
+			continue
+		}
+		if _, resting := q.h.Health.Penalty(source.ID); resting {
+			continue
+		}
+		if best == nil || lacks[i] < least || source.Zone == s.Zone && best.Zone != s.Zone {
+			best, least = source, lacks[i]
+		}
+	}
+	return best
+}
+
 // attempt sends the request to one server. It returns whether another server
 // may be tried.
 func (q *query) attempt(ctx context.Context, w http.ResponseWriter, s *catalog.Server, chosen choice) bool {
@@ -172,7 +201,11 @@
 		q.h.Loads.End(s.ID)
 		a.Took = time.Since(start)
 	}()
-	answer, err := q.h.Pool.Send(ctx, s, q.outgoing(s))
+	source := q.fetchSource(s, chosen.Missing)
+	if source != nil {
+		a.Fetched = source.ID
+	}
+	answer, err := q.h.Pool.Send(ctx, s, q.outgoing(s, source))
 	if err != nil {
 		return q.sendFailed(ctx, s, a, err)
 	}
@@ -190,7 +223,7 @@
 	}
 }
 
-func (q *query) outgoing(s *catalog.Server) *upstream.Outgoing {
+func (q *query) outgoing(s, source *catalog.Server) *upstream.Outgoing {
 	resume := q.lastID
 	if resume == "" {
 		resume = q.call.ResumeAfter
@@ -201,6 +234,9 @@
 		Priority:    q.priority(),
 		ResumeAfter: resume,
 	}
+	if source != nil {
+		attempt.FetchFrom = source.Address
+	}
 	if q.ws != nil {
 		attempt.Workspace = q.ws.Name
 	}
--- a/gateway/peers/exchange.go
+++ b/gateway/peers/exchange.go
@@ -52,6 +52,7 @@
 type Status struct {
 	Ready   bool
 	Leaving bool
+	Settled bool
 }
 
 // Fetcher gets a newer state from a peer.
@@ -141,6 +142,7 @@
 		Capacity: e.table.self.Capacity,
 		Ready:    status.Ready,
 		Leaving:  status.Leaving,
+		Settled:  status.Settled,
 		Revision: view.Revision,
 		Hash:     view.Hash,
 		AgeMS:    -1,
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -43,6 +43,7 @@
 	Capacity float64         `json:"w"`
 	Ready    bool            `json:"r,omitempty"`
 	Leaving  bool            `json:"l,omitempty"`
+	Settled  bool            `json:"k,omitempty"` // knows what caches hold
 	Reading  bool            `json:"s,omitempty"` // its last poll of the store succeeded
 	Revision int64           `json:"v"`
 	Hash     uint64          `json:"h"`
@@ -61,6 +62,7 @@
 	Ready    bool
 	Leaving  bool
 	Reading  bool
+	Settled  bool
 
 	incarnation uint64
 	heard       boottime.Instant // 0: never
@@ -232,6 +234,7 @@
 	p.heard = t.clock()
 	p.Zone, p.Capacity = m.Zone, m.Capacity
 	p.Ready, p.Leaving, p.Reading = m.Ready, m.Leaving, m.Reading
+	p.Settled = m.Settled
 	for _, other := range m.Alive {
 		t.add(other)
 	}
--- a/gateway/warm/warm.go
+++ b/gateway/warm/warm.go
@@ -17,8 +17,9 @@
 	maxParts    = 8192
 	maxHolders  = 6 // servers remembered for each part
 	usageDecay  = 8 * time.Second
-	maxRecent   = 64 // own placements that wait to be told
-	refreshSize = 16 // older entries told with each message
+	maxRecent   = 64  // own placements that wait to be told
+	maxListed   = 128 // listed entries told with each message
+	refreshSize = 16  // older entries told with each message
 )
 
 // Holder names an incarnation of a server in short.
@@ -51,6 +52,7 @@
 	order  []PartKey // in which entries are told and swept
 	cursor int
 	recent []Entry // own placements since the last Tell
+	listed []Entry // own listings that wait to be told
 	usage  map[Holder]*usage
 }
 
@@ -86,6 +88,18 @@
 	}
 }
 
+// Listed notes the parts that a server says it has. They are told to peers
+// with the older entries, in turn.
+func (x *Index) Listed(parts []call.Part, h Holder) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := x.now()
+	for _, p := range parts {
+		x.note(KeyOf(p), h, now)
+		x.listed = append(x.listed, Entry{Part: KeyOf(p), Holder: h, AgeMS: 1})
+	}
+}
+
 // Told takes over entries of a peer.
 func (x *Index) Told(entries []Entry) {
 	x.mu.Lock()
@@ -194,6 +208,9 @@
 	defer x.mu.Unlock()
 	entries := x.recent
 	x.recent = nil
+	n := min(len(x.listed), maxListed)
+	entries = append(entries, x.listed[:n]...)
+	x.listed = x.listed[n:]
 	now := x.now()
 	for range min(refreshSize, len(x.order)) {
 		x.cursor = (x.cursor + 1) % len(x.order)
