--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -73,7 +73,7 @@
 	callers  *ingress.Server
 	servers  []*http.Server
 
-	draining atomic.Bool
+	drainEnd atomic.Pointer[time.Time] // when the daemon ends; nil: it is not draining
 }
 
 // New joins the parts of a daemon.
@@ -114,7 +114,7 @@
 		Fleet:    d.peers.FleetSize,
 		Recorder: d,
 		Settings: ingress.Settings{Zone: s.Zone, KeyLease: s.KeyLease},
-		Draining: d.draining.Load,
+		Draining: d.timeLeft,
 	}
 	d.callers = ingress.NewServer(d.handler)
 	d.pool.OnDial = d.dialed
@@ -160,14 +160,16 @@
 	d.metrics.Gauge("log_lines_dropped", func() float64 { return float64(d.writer.Dropped()) })
 }
 
+func (d *Daemon) draining() bool { return d.drainEnd.Load() != nil }
+
 // ready tells whether callers may be sent here.
 func (d *Daemon) ready() bool {
 	age, ok := d.catalog.Age()
-	return ok && age < readyAge && !d.draining.Load() && d.catalog.View().Table != nil
+	return ok && age < readyAge && !d.draining() && d.catalog.View().Table != nil
 }
 
 func (d *Daemon) status() peers.Status {
-	return peers.Status{Ready: d.ready(), Leaving: d.draining.Load(), Settled: d.scanner.Settled()}
+	return peers.Status{Ready: d.ready(), Leaving: d.draining(), Settled: d.scanner.Settled()}
 }
 
 // Run serves until the context ends, then drains. It returns when the process
@@ -299,6 +301,9 @@
 }
 
 const (
+	// shutMargin is how long before the end requests that may last until then are
+	// no longer taken.
+	shutMargin = 300 * time.Millisecond
 	// endMargin is how long before the platform kills the process its callers'
 	// connections are closed.
 	endMargin = 400 * time.Millisecond
@@ -309,13 +314,22 @@
 	logWait    = 100 * time.Millisecond
 )
 
+// timeLeft returns how long the daemon serves on, if it is draining.
+func (d *Daemon) timeLeft() (time.Duration, bool) {
+	end := d.drainEnd.Load()
+	if end == nil {
+		return 0, false
+	}
+	return time.Until(*end) - shutMargin, true
+}
+
 // drain serves on while callers go elsewhere.
 func (d *Daemon) drain() {
-	d.draining.Store(true)
-	d.log.Lifecycle("drain_started", "")
-	d.exchange.SendNow()
 	start := time.Now()
 	end := start.Add(d.settings.Grace - endMargin)
+	d.drainEnd.Store(&end)
+	d.log.Lifecycle("drain_started", "")
+	d.exchange.SendNow()
 	least := start.Add(min(leastDrain, d.settings.Grace-endMargin))
 	for now := start; now.Before(end); now = time.Now() {
 		if now.After(least) && d.callers.Active() == 0 {
--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -12,7 +12,7 @@
 const maxAddresses = 64
 
 // ttl is how long callers may keep an answer.
-const ttl = 2 * time.Second
+const ttl = time.Second
 
 // Answer tells which addresses to use, and for how long.
 type Answer struct {
--- a/gateway/ingress/handler.go
+++ b/gateway/ingress/handler.go
@@ -51,13 +51,22 @@
 	Fleet    func() int // daemons that share the servers' connections
 	Recorder Recorder
 	Settings Settings
-	Draining func() bool
+	// Draining returns the time left until the daemon ends, and whether it is
+	// about to.
+	Draining func() (left time.Duration, draining bool)
 }
 
 // keyLeaseMargin is the time between the last check of the lease and the
 // moment at which the request is at the server.
 const keyLeaseMargin = 400 * time.Millisecond
 
+// promptTime and tokenTime bound the time to the first token and between
+// tokens of a stream, where it matters whether the stream ends in time.
+const (
+	promptTime = 1500 * time.Millisecond
+	tokenTime  = 8 * time.Millisecond
+)
+
 // defaultDeadline is used where neither caller nor route says how long to wait.
 const defaultDeadline = 60 * time.Second
 
@@ -66,7 +75,7 @@
 	rec := &Record{Start: time.Now(), Host: r.Host, Path: r.URL.Path}
 	defer h.Recorder.Record(rec)
 	defer rec.end()
-	if h.Draining() {
+	if _, draining := h.Draining(); draining {
 		w.Header().Set("Connection", "close")
 	}
 	q, reject := h.admit(w, r, rec)
@@ -150,10 +159,21 @@
 	if h.Suspects.Refused(q.print) {
 		return nil, notRun(ReasonSuspect, 0)
 	}
+	if left, draining := h.Draining(); draining && q.longest() > left {
+		return nil, notRun(ReasonDraining, drainRetry)
+	}
 	h.Budget.Request(q.service.Name)
 	return q, nil
 }
 
+// longest estimates how long the request may take.
+func (q *query) longest() time.Duration {
+	if q.route.Kind != route.Stream || q.call.MaxOutput == 0 {
+		return q.deadline
+	}
+	return min(q.deadline, promptTime+time.Duration(q.call.MaxOutput)*tokenTime)
+}
+
 // deadline is the shorter of what the caller and the route allow.
 func deadline(caller, timeout time.Duration) time.Duration {
 	d := caller
@@ -241,6 +261,7 @@
 	leaseRetry    = 500 * time.Millisecond
 	noServerRetry = 200 * time.Millisecond
 	fullRetry     = 100 * time.Millisecond
+	drainRetry    = 20 * time.Millisecond // another daemon serves at once
 )
 
 func refuse(status int, reason Reason) *rejection {
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -33,6 +33,7 @@
 	ReasonBodyTooLarge Reason = "body_too_large"
 	ReasonBodyBroken   Reason = "body_broken"
 	ReasonSuspect      Reason = "crashes_servers"
+	ReasonDraining     Reason = "daemon_draining"
 	ReasonNoServer     Reason = "no_server"
 	ReasonBudget       Reason = "retry_budget_spent"
 	ReasonDeadline     Reason = "deadline"
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -170,6 +170,12 @@
 	return t.largest
 }
 
+// Majority tells whether most of the daemons known of late are heard.
+func (t *Table) Majority() bool {
+	fleet := t.FleetSize()
+	return 2*(len(t.Alive())+1) > fleet
+}
+
 // SetReading notes whether this daemon can read the store.
 func (t *Table) SetReading(ok bool) {
 	t.mu.Lock()
--- a/gateway/reader/reader.go
+++ b/gateway/reader/reader.go
@@ -37,6 +37,8 @@
 type Ranker interface {
 	Rank() int
 	SetReading(ok bool)
+	// Majority tells whether most of the daemons known of late are heard.
+	Majority() bool
 }
 
 // Log takes the reader's events.
@@ -149,7 +151,7 @@
 	if r.failing {
 		outage := now.Sub(r.failedAt)
 		r.log.StoreBack(outage)
-		if outage >= outageAfter {
+		if outage >= outageAfter && r.storeWasAway() {
 			r.keepUntil = now.Add(returnGrace)
 			r.lapsed = r.catalog.State().Servers
 		}
@@ -158,6 +160,13 @@
 	r.lastOK = now
 }
 
+// storeWasAway tells whether no daemon could read the store, rather than only
+// this one: then most daemons are heard and none has confirmed the state.
+func (r *Reader) storeWasAway() bool {
+	age, known := r.catalog.Age()
+	return known && age >= outageAfter && r.ranks.Majority()
+}
+
 func (r *Reader) adopt(u Update) {
 	state := catalog.State{
 		Revision: u.Revision,
