placement, warm, load: prompts under computation count; placements are told at once

Change: tokens still to be computed count as load, parts are known as pending until the first event, and a cold placement is told to peers at once.

--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -115,6 +115,7 @@
 		Recorder: d,
 		Settings: ingress.Settings{Zone: s.Zone, KeyLease: s.KeyLease},
 		Draining: d.timeLeft,
+		Hurry:    func() { d.exchange.Hurry() },
 	}
 	d.callers = ingress.NewServer(d.handler)
 	d.pool.OnDial = d.dialed
@@ -329,7 +330,7 @@
 	end := start.Add(d.settings.Grace - endMargin)
 	d.drainEnd.Store(&end)
 	d.log.Lifecycle("drain_started", "")
-	d.exchange.SendNow()
+	d.exchange.Hurry()
 	least := start.Add(min(leastDrain, d.settings.Grace-endMargin))
 	for now := start; now.Before(end); now = time.Now() {
 		if now.After(least) && d.callers.Active() == 0 {
--- a/gateway/eventlog/log.go
+++ b/gateway/eventlog/log.go
@@ -54,6 +54,12 @@
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (a attempt) MarshalZerologObject(e *zerolog.Event) {
 	e.Str("server", a.Server).Str("cause", string(a.Cause)).Int("in_flight", a.InFlight).Int64("took_ms", a.Took.Milliseconds())
+	if a.Queued != 0 {
+		e.Int("queued_tokens", a.Queued)
+	}
+	if a.Prompt != 0 {
+		e.Int("shared_tokens", a.Prompt)
+	}
 	if a.Missing != 0 {
 		e.Int("missing_tokens", a.Missing)
 	}
--- a/gateway/ingress/answer.go
+++ b/gateway/ingress/answer.go
@@ -10,6 +10,7 @@
 	"cassialatch.dev/gateway/catalog"
 	"cassialatch.dev/gateway/sse"
 	"cassialatch.dev/gateway/upstream"
+	"cassialatch.dev/gateway/warm"
 )
 
 const (
@@ -81,7 +82,7 @@
 		n, err := answer.Body.Read(buf)
 		if n > 0 {
 			events.Write(buf[:n])
-			if err := q.passOn(w, answer, &events); err != nil {
+			if err := q.passOn(w, s, answer, &events); err != nil {
 				answer.Abort()
 				q.callerLeft()
 			}
@@ -115,11 +116,14 @@
 }
 
 // passOn writes the whole events that have come.
-func (q *query) passOn(w http.ResponseWriter, answer *upstream.Answer, events *sse.Splitter) error {
+func (q *query) passOn(w http.ResponseWriter, s *catalog.Server, answer *upstream.Answer, events *sse.Splitter) error {
 	whole, lastID := events.Whole()
 	if len(whole) == 0 {
 		return nil
 	}
+	if q.entry.Computed() {
+		q.h.Warm.Computed(q.call.SharedParts(), warm.Holder(s.Tag()))
+	}
 	if !q.headWritten {
 		q.writeHead(w, answer)
 	}
--- a/gateway/ingress/handler.go
+++ b/gateway/ingress/handler.go
@@ -51,6 +51,8 @@
 	Fleet    func() int // daemons that share the servers' connections
 	Recorder Recorder
 	Settings Settings
+	// Hurry has the peers told soon where a prompt is being computed.
+	Hurry func()
 	// Draining returns the time left until the daemon ends, and whether it is
 	// about to.
 	Draining func() (left time.Duration, draining bool)
@@ -110,6 +112,7 @@
 	headWritten bool        // the caller has the head of the answer
 	kept        *keptAnswer // a server's failure, passed on if nothing better comes
 	finished    bool
+	entry       *load.Entry // of the attempt under way
 }
 
 // admit checks a request before any server is involved.
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -51,6 +51,8 @@
 type Attempt struct {
 	Server   string
 	InFlight int // requests on the server when it was chosen
+	Queued   int // tokens of prompts that it was computing then
+	Prompt   int // tokens of the prompt's shared parts
 	Missing  int // tokens of the prompt's shared parts that it was thought to compute
 	Cause    placement.Cause
 	Fetched  string // server whose cache has the missing tokens; empty: none
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"slices"
 	"time"
 
 	"cassialatch.dev/gateway/call"
 	"cassialatch.dev/gateway/catalog"
+	"cassialatch.dev/gateway/load"
 	"cassialatch.dev/gateway/placement"
 	"cassialatch.dev/gateway/route"
 	"cassialatch.dev/gateway/upstream"
@@ -121,18 +123,20 @@
 // candidates returns the servers that were not tried, those that rest apart.
 func (q *query) candidates(servers []*catalog.Server) (ready, resting []placement.Candidate) {
 	ids := make([]string, len(servers))
-	counts := make([]int, len(servers))
+	work := make([]load.Work, len(servers))
 	for i, s := range servers {
 		ids[i] = s.ID
 	}
-	q.h.Loads.InFlight(ids, counts)
-	missing, usage := q.prompts(servers)
+	q.h.Loads.InFlight(ids, work)
+	have, usage := q.prompts(servers)
+	fetchable := leastReady(have)
 	for i, s := range servers {
 		if q.tried[s.ID] {
 			continue
 		}
 		penalty, rests := q.h.Health.Penalty(s.ID)
-		c := placement.Candidate{ID: s.ID, Zone: s.Zone, InFlight: counts[i], Penalty: penalty, Missing: missing[i], Usage: usage[i]}
+		c := placement.Candidate{ID: s.ID, Zone: s.Zone, InFlight: work[i].Requests, Queued: work[i].Tokens,
+			Penalty: penalty, Missing: have[i].Missing, Ready: have[i].Ready, Fetched: max(have[i].Missing-fetchable, 0), Usage: usage[i]}
 		if rests {
 			resting = append(resting, c)
 		} else {
@@ -142,22 +146,47 @@
 	return ready, resting
 }
 
-// prompts returns how much of the prompt each server has to compute, and how
-// many prompts it has got of late.
-func (q *query) prompts(servers []*catalog.Server) (missing []int, usage []float64) {
-	missing = make([]int, len(servers))
+// prompts returns how much of the prompt each server has, and how many prompts
+// it has got of late.
+func (q *query) prompts(servers []*catalog.Server) (have []warm.Have, usage []float64) {
+	have = make([]warm.Have, len(servers))
 	usage = make([]float64, len(servers))
 	shared := q.call.SharedParts()
 	if len(shared) == 0 {
-		return missing, usage
+		return have, usage
 	}
 	holders := make([]warm.Holder, len(servers))
 	for i, s := range servers {
 		holders[i] = warm.Holder(s.Tag())
 	}
-	q.h.Warm.Missing(shared, holders, missing)
+	q.h.Warm.Lookup(shared, holders, have)
 	q.h.Warm.Usage(holders, usage)
-	return missing, usage
+	return have, usage
+}
+
+// leastReady returns what the server that has most of the prompt ready lacks.
+func leastReady(have []warm.Have) int {
+	least := math.MaxInt
+	for _, h := range have {
+		if h.Ready {
+			least = min(least, h.Missing)
+		}
+	}
+	return least
+}
+
+// toCompute estimates the tokens of the prompt that a server has to compute.
+func (q *query) toCompute(missing int) int {
+	return max(q.call.PromptSize-q.sharedTokens(), 0) + missing
+}
+
+// sharedTokens returns the size of the prompt's shared parts.
+func (q *query) sharedTokens() int {
+	tokens := 0
+	for _, p := range q.call.SharedParts() {
+		tokens += p.Tokens
+	}
+	return tokens
 }
 
 // minFetch is the least number of tokens worth a transfer between caches.
@@ -171,18 +200,18 @@
 	}
 	view := q.h.Catalog.View()
 	sources := slices.Concat(view.ByService[q.service.Name], view.Leaving[q.service.Name])
-	lacks, _ := q.prompts(sources)
+	have, _ := q.prompts(sources)
 	var best *catalog.Server
 	least := missing - minFetch
 	for i, source := range sources {
-		if source.ID == s.ID || lacks[i] > least {
+		if source.ID == s.ID || !have[i].Ready || have[i].Missing > least {
 			continue
 		}
 		if _, resting := q.h.Health.Penalty(source.ID); resting {
 			continue
 		}
-		if best == nil || lacks[i] < least || source.Zone == s.Zone && best.Zone != s.Zone {
-			best, least = source, lacks[i]
+		if best == nil || have[i].Missing < least || source.Zone == s.Zone && best.Zone != s.Zone {
+			best, least = source, have[i].Missing
 		}
 	}
 	return best
@@ -193,12 +222,15 @@
 func (q *query) attempt(ctx context.Context, w http.ResponseWriter, s *catalog.Server, chosen choice) bool {
 	start := time.Now()
 	q.tried[s.ID] = true
-	q.rec.Attempts = append(q.rec.Attempts, Attempt{Server: s.ID, InFlight: chosen.InFlight, Missing: chosen.Missing, Cause: chosen.cause})
+	q.rec.Attempts = append(q.rec.Attempts, Attempt{Server: s.ID, InFlight: chosen.InFlight, Queued: chosen.Queued, Prompt: q.sharedTokens(), Missing: chosen.Missing, Cause: chosen.cause})
 	a := q.last()
-	q.h.Loads.Begin(s.ID)
+	q.entry = q.h.Loads.Begin(s.ID, q.toCompute(chosen.Missing))
 	q.h.Warm.Placed(q.call.SharedParts(), warm.Holder(s.Tag()))
+	if chosen.Missing > 0 {
+		q.h.Hurry()
+	}
 	defer func() {
-		q.h.Loads.End(s.ID)
+		q.entry.End()
 		a.Took = time.Since(start)
 	}()
 	source := q.fetchSource(s, chosen.Missing)
--- a/gateway/load/load.go
+++ b/gateway/load/load.go
@@ -1,5 +1,5 @@
-// Package load counts the requests in flight on each backend server: this
-// daemon's exactly, those of its peers as they last told.
+// Package load counts the work in flight on each backend server: this daemon's
+// exactly, that of its peers as they last told.
 package load
 
 import (
@@ -10,66 +10,111 @@
 // peerTTL is how long a peer's counts are used without news of it.
 const peerTTL = 2 * time.Second
 
+// Work is what a server has in flight.
+type Work struct {
+	Requests int `json:"n"`
+	Tokens   int `json:"t,omitempty"` // of prompts that are still being computed
+}
+
+func (w Work) plus(o Work) Work {
+	return Work{Requests: w.Requests + o.Requests, Tokens: w.Tokens + o.Tokens}
+}
+
+func (w Work) minus(o Work) Work {
+	return Work{Requests: w.Requests - o.Requests, Tokens: w.Tokens - o.Tokens}
+}
+
 // Table is safe for concurrent use.
 type Table struct {
 	now func() time.Time
 
 	mu    sync.Mutex
-	own   map[string]int // by server ID
-	peers map[string]*peerCounts
-	sum   map[string]int // of the peers' counts
+	own   map[string]Work // by server ID
+	peers map[string]*peerWork
+	sum   map[string]Work // of the peers' work
 }
 
-type peerCounts struct {
-	heard  time.Time
-	counts map[string]int
+type peerWork struct {
+	heard time.Time
+	work  map[string]Work
 }
 
 // New returns an empty table.
 func New(now func() time.Time) *Table {
 	return &Table{
 		now:   now,
-		own:   make(map[string]int),
-		peers: make(map[string]*peerCounts),
-		sum:   make(map[string]int),
+		own:   make(map[string]Work),
+		peers: make(map[string]*peerWork),
+		sum:   make(map[string]Work),
 	}
 }
 
-// Begin counts a request that is about to be sent.
-func (t *Table) Begin(server string) {
+// Begin counts a request that is about to be sent, with the tokens of its
+// prompt that the server has to compute.
+func (t *Table) Begin(server string, tokens int) *Entry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.own[server]++
+	t.own[server] = t.own[server].plus(Work{Requests: 1, Tokens: tokens})
+	return &Entry{table: t, server: server, tokens: tokens}
 }
 
-// End counts a request that is no longer in flight.
-func (t *Table) End(server string) {
+// Entry is one request in flight.
+type Entry struct {
+	table  *Table
+	server string
+	tokens int // still counted
+
+	computed bool
+}
+
+// Computed notes that the server has computed the prompt. It returns whether
+// that is news.
+func (e *Entry) Computed() bool {
+	if e.computed {
+		return false
+	}
+	e.computed = true
+	e.table.subtract(e.server, Work{Tokens: e.tokens})
+	e.tokens = 0
+	return true
+}
+
+// End notes that the request is no longer in flight. It is called once.
+func (e *Entry) End() {
+	e.table.subtract(e.server, Work{Requests: 1, Tokens: e.tokens})
+	e.tokens = 0
+}
+
+func (t *Table) subtract(server string, w Work) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.own[server]--; t.own[server] <= 0 {
+	left := t.own[server].minus(w)
+	if left.Requests <= 0 {
 		delete(t.own, server)
+		return
 	}
+	t.own[server] = left
 }
 
 // Own returns a copy of this daemon's counts.
-func (t *Table) Own() map[string]int {
+func (t *Table) Own() map[string]Work {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	own := make(map[string]int, len(t.own))
-	for server, n := range t.own {
-		own[server] = n
+	own := make(map[string]Work, len(t.own))
+	for server, w := range t.own {
+		own[server] = w
 	}
 	return own
 }
 
 // SetPeer replaces the counts of a peer.
-func (t *Table) SetPeer(peer string, counts map[string]int) {
+func (t *Table) SetPeer(peer string, work map[string]Work) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.drop(peer)
-	t.peers[peer] = &peerCounts{heard: t.now(), counts: counts}
-	for server, n := range counts {
-		t.sum[server] += n
+	t.peers[peer] = &peerWork{heard: t.now(), work: work}
+	for server, w := range work {
+		t.sum[server] = t.sum[server].plus(w)
 	}
 }
 
@@ -92,19 +137,21 @@
 		return
 	}
 	delete(t.peers, peer)
-	for server, n := range p.counts {
-		if t.sum[server] -= n; t.sum[server] <= 0 {
+	for server, w := range p.work {
+		left := t.sum[server].minus(w)
+		if left == (Work{}) {
 			delete(t.sum, server)
+			continue
 		}
+		t.sum[server] = left
 	}
 }
 
-// InFlight returns the requests in flight on each of the servers, by all
-// daemons together.
-func (t *Table) InFlight(servers []string, counts []int) {
+// InFlight sets what each of the servers has in flight from all daemons.
+func (t *Table) InFlight(servers []string, work []Work) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for i, s := range servers {
-		counts[i] = t.own[s] + t.sum[s]
+		work[i] = t.own[s].plus(t.sum[s])
 	}
 }
--- a/gateway/peers/exchange.go
+++ b/gateway/peers/exchange.go
@@ -74,6 +74,7 @@
 	incarnation uint64
 	port        int
 	round       int
+	urgent      chan struct{}
 }
 
 // Listen opens the socket at the address. All daemons use the same port.
@@ -93,6 +94,7 @@
 		status:      status,
 		incarnation: rand.Uint64(),
 		port:        addr.Port,
+		urgent:      make(chan struct{}, 1),
 	}, nil
 }
 
@@ -109,15 +111,22 @@
 			return
 		case <-timer.C:
 		case <-changed: // news are told at once
+		case <-e.urgent:
 		}
 		e.send()
 		e.loads.Expire()
 		timer.Reset(e.table.Interval())
+		time.Sleep(e.table.gap())
 	}
 }
 
-// SendNow tells the peers at once, for a change of status.
-func (e *Exchange) SendNow() { e.send() }
+// Hurry has the peers told soon, rather than at the next regular time.
+func (e *Exchange) Hurry() {
+	select {
+	case e.urgent <- struct{}{}:
+	default:
+	}
+}
 
 func (e *Exchange) send() {
 	body, err := json.Marshal(e.message())
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -16,6 +16,7 @@
 
 	"cassialatch.dev/gateway/boottime"
 	"cassialatch.dev/gateway/catalog"
+	"cassialatch.dev/gateway/load"
 	"cassialatch.dev/gateway/suspect"
 )
 
@@ -39,19 +40,19 @@
 
 // Message is what daemons tell each other.
 type Message struct {
-	Zone     string          `json:"z"`
-	Capacity float64         `json:"w"`
-	Ready    bool            `json:"r,omitempty"`
-	Leaving  bool            `json:"l,omitempty"`
-	Settled  bool            `json:"k,omitempty"` // knows what caches hold
-	Reading  bool            `json:"s,omitempty"` // its last poll of the store succeeded
-	Revision int64           `json:"v"`
-	Hash     uint64          `json:"h"`
-	AgeMS    int64           `json:"a"` // of its last confirmation, -1: none
-	Alive    []string        `json:"p,omitempty"`
-	InFlight map[string]int  `json:"i,omitempty"`
-	Broken   []suspect.Count `json:"b,omitempty"`
-	Warm     []uint32        `json:"c,omitempty"` // triples: part, holder, age in ms
+	Zone     string               `json:"z"`
+	Capacity float64              `json:"w"`
+	Ready    bool                 `json:"r,omitempty"`
+	Leaving  bool                 `json:"l,omitempty"`
+	Settled  bool                 `json:"k,omitempty"` // knows what caches hold
+	Reading  bool                 `json:"s,omitempty"` // its last poll of the store succeeded
+	Revision int64                `json:"v"`
+	Hash     uint64               `json:"h"`
+	AgeMS    int64                `json:"a"` // of its last confirmation, -1: none
+	Alive    []string             `json:"p,omitempty"`
+	InFlight map[string]load.Work `json:"i,omitempty"`
+	Broken   []suspect.Count      `json:"b,omitempty"`
+	Warm     []uint32             `json:"c,omitempty"` // triples: part, holder, age in ms
 }
 
 // Peer is another daemon.
@@ -128,6 +129,14 @@
 	return min(max(least, time.Duration(len(t.peers))*perDatagram), most)
 }
 
+// gap returns the least time between two datagrams to the same daemon.
+func (t *Table) gap() time.Duration {
+	const perDatagram = time.Millisecond
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Duration(len(t.peers)) * perDatagram
+}
+
 // silence is the time after which a daemon counts as gone. t.mu is held.
 func (t *Table) silence() time.Duration {
 	const (
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -17,7 +17,10 @@
 	Zone     string
 	InFlight int     // requests of all daemons together
 	Penalty  float64 // of servers that are slow or fail, in requests
-	Missing  int     // tokens of the prompt's shared parts that it has to compute
+	Queued   int     // tokens of prompts that it still computes
+	Missing  int     // tokens of the prompt's shared parts that its cache lacks
+	Fetched  int     // of these, tokens that another server's cache has ready
+	Ready    bool    // it has computed the other shared parts
 	Usage    float64 // prompts that it has got of late
 }
 
@@ -26,11 +29,12 @@
 
 // Causes of a choice.
 const (
-	CauseWarm  Cause = "warm"  // it has all shared parts
-	CauseCold  Cause = "cold"  // no server has all shared parts
-	CauseBound Cause = "bound" // those that have them are at their bound
-	CauseCost  Cause = "cost"  // those that have them are busier than the parts are worth
-	CauseLoad  Cause = "load"  // there is no prompt, or all servers are at their bound
+	CauseWarm    Cause = "warm"    // it has all shared parts
+	CausePending Cause = "pending" // it computes the shared parts for another request
+	CauseCold    Cause = "cold"    // no server has all shared parts
+	CauseBound   Cause = "bound"   // those that have them are at their bound
+	CauseCost    Cause = "cost"    // those that have them are busier than the parts are worth
+	CauseLoad    Cause = "load"    // there is no prompt, or all servers are at their bound
 )
 
 // load is what a candidate is weighed by.
@@ -61,6 +65,12 @@
 }
 
 const (
+	// missingWeight is what a token to compute weighs against one that the
+	// server computes for another request. It is high, since the token may well
+	// be under computation at another server.
+	missingWeight = 6
+	// fetchedWeight is the same for a token that another server hands over.
+	fetchedWeight = 1
 	// tokensPerRequest is how many tokens more a server may have to compute for
 	// each request in flight that it has less than another. Short prompts so
 	// leave a busy server before long ones do.
@@ -92,7 +102,8 @@
 		if c.load() >= limit {
 			continue
 		}
-		cost := float64(c.Missing) + tokensPerRequest*math.Max(0, c.load()-mean)
+		cost := missingWeight*float64(c.Missing-c.Fetched) + fetchedWeight*float64(c.Fetched) + float64(c.Queued) +
+			tokensPerRequest*math.Max(0, c.load()-mean)
 		if !known {
 			cost += tokensPerUse * math.Max(0, c.Usage-usage)
 		}
@@ -109,6 +120,8 @@
 
 func cause(candidates []Candidate, chosen int, known bool) Cause {
 	switch {
+	case candidates[chosen].Missing == 0 && !candidates[chosen].Ready:
+		return CausePending
 	case candidates[chosen].Missing == 0:
 		return CauseWarm
 	case known:
--- a/gateway/warm/warm.go
+++ b/gateway/warm/warm.go
@@ -13,9 +13,11 @@
 
 const (
 	// ttl is how long a part that nobody asks for is remembered.
-	ttl         = 2 * time.Minute
-	maxParts    = 8192
-	maxHolders  = 6 // servers remembered for each part
+	ttl        = 2 * time.Minute
+	maxParts   = 8192
+	maxHolders = 6 // servers remembered for each part
+	// pendingTTL is how long a server may take to compute a part.
+	pendingTTL  = 3 * time.Second
 	usageDecay  = 8 * time.Second
 	maxRecent   = 64  // own placements that wait to be told
 	maxListed   = 128 // listed entries told with each message
@@ -35,12 +37,19 @@
 type Entry struct {
 	Part   PartKey
 	Holder Holder
-	AgeMS  uint32 // since it was last used; 0 tells of a new placement
+	AgeMS  uint32 // since it was last used; 0: the server still has to compute the part
 }
 
 type holding struct {
 	holder Holder
 	used   time.Time
+	ready  bool // the server has computed the part
+}
+
+// Have tells how much of a prompt's shared parts a server has.
+type Have struct {
+	Missing int  // tokens that it has to compute
+	Ready   bool // it has computed the others
 }
 
 // Index is safe for concurrent use.
@@ -71,16 +80,17 @@
 	return &Index{now: now, parts: make(map[PartKey][]holding), usage: make(map[Holder]*usage)}
 }
 
-// Placed notes that a prompt with these shared parts was sent to a server.
+// Placed notes that a prompt with these shared parts was sent to a server,
+// which may still have to compute them.
 func (x *Index) Placed(shared []call.Part, h Holder) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := x.now()
 	x.use(h, now)
 	for i, p := range shared {
-		x.note(KeyOf(p), h, now)
+		x.note(KeyOf(p), h, now, false)
 		if i < len(shared)-1 {
-			continue // peers count one use a prompt, and learn the others in turn
+			continue // peers count one use a prompt, and learn the others when computed
 		}
 		if len(x.recent) < maxRecent {
 			x.recent = append(x.recent, Entry{Part: KeyOf(p), Holder: h})
@@ -88,6 +98,24 @@
 	}
 }
 
+// Computed notes that a server has computed these parts.
+func (x *Index) Computed(shared []call.Part, h Holder) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := x.now()
+	for _, p := range shared {
+		held := find(x.parts[KeyOf(p)], h)
+		if held != nil && held.ready {
+			held.used = now
+			continue // peers know, or learn it in turn
+		}
+		x.note(KeyOf(p), h, now, true)
+		if len(x.recent) < maxRecent {
+			x.recent = append(x.recent, Entry{Part: KeyOf(p), Holder: h, AgeMS: 1})
+		}
+	}
+}
+
 // Listed notes the parts that a server says it has. They are told to peers
 // with the older entries, in turn.
 func (x *Index) Listed(parts []call.Part, h Holder) {
@@ -95,7 +123,7 @@
 	defer x.mu.Unlock()
 	now := x.now()
 	for _, p := range parts {
-		x.note(KeyOf(p), h, now)
+		x.note(KeyOf(p), h, now, true)
 		x.listed = append(x.listed, Entry{Part: KeyOf(p), Holder: h, AgeMS: 1})
 	}
 }
@@ -111,7 +139,7 @@
 		}
 		age := time.Duration(e.AgeMS) * time.Millisecond
 		if age < ttl {
-			x.note(e.Part, e.Holder, now.Add(-age))
+			x.note(e.Part, e.Holder, now.Add(-age), e.AgeMS > 0)
 		}
 	}
 }
@@ -141,15 +169,14 @@
 }
 
 // note remembers a holder. x.mu is held.
-func (x *Index) note(p PartKey, h Holder, used time.Time) {
+func (x *Index) note(p PartKey, h Holder, used time.Time, ready bool) {
 	list, known := x.parts[p]
-	for i := range list {
-		if list[i].holder == h {
-			if used.After(list[i].used) {
-				list[i].used = used
-			}
-			return
+	if held := find(list, h); held != nil {
+		if used.After(held.used) {
+			held.used = used
 		}
+		held.ready = held.ready || ready
+		return
 	}
 	if !known {
 		if len(x.order) >= maxParts {
@@ -158,7 +185,7 @@
 		x.order = append(x.order, p)
 	}
 	if len(list) < maxHolders {
-		x.parts[p] = append(list, holding{h, used})
+		x.parts[p] = append(list, holding{holder: h, used: used, ready: ready})
 		return
 	}
 	oldest := 0
@@ -168,13 +195,13 @@
 		}
 	}
 	if used.After(list[oldest].used) {
-		list[oldest] = holding{h, used}
+		list[oldest] = holding{holder: h, used: used, ready: ready}
 	}
 }
 
-// Missing sets, for each holder, how many tokens of the parts it has to
-// compute. A part is of use only if all parts before it are there too.
-func (x *Index) Missing(shared []call.Part, holders []Holder, missing []int) {
+// Lookup sets, for each holder, how much of the parts it has. A part is of use
+// only if all parts before it are there too.
+func (x *Index) Lookup(shared []call.Part, holders []Holder, have []Have) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	total := 0
@@ -182,23 +209,25 @@
 		total += p.Tokens
 	}
 	for i, h := range holders {
-		missing[i] = total
+		have[i] = Have{Missing: total, Ready: true}
 		for _, p := range shared {
-			if !holds(x.parts[KeyOf(p)], h) {
+			held := find(x.parts[KeyOf(p)], h)
+			if held == nil {
 				break
 			}
-			missing[i] -= p.Tokens
+			have[i].Missing -= p.Tokens
+			have[i].Ready = have[i].Ready && held.ready
 		}
 	}
 }
 
-func holds(list []holding, h Holder) bool {
+func find(list []holding, h Holder) *holding {
 	for i := range list {
 		if list[i].holder == h {
-			return true
+			return &list[i]
 		}
 	}
-	return false
+	return nil
 }
 
 // Tell returns the own placements since the last call, and some older entries
@@ -216,6 +245,9 @@
 		x.cursor = (x.cursor + 1) % len(x.order)
 		part := x.order[x.cursor]
 		for _, held := range x.parts[part] {
+			if !held.ready {
+				continue
+			}
 			age := max(now.Sub(held.used), 0)
 			entries = append(entries, Entry{Part: part, Holder: held.holder, AgeMS: max(uint32(age.Milliseconds()), 1)})
 		}
@@ -233,7 +265,11 @@
 		list := x.parts[part]
 		live := list[:0]
 		for _, held := range list {
-			if listed(held.holder) && now.Sub(held.used) < ttl {
+			limit := ttl
+			if !held.ready {
+				limit = pendingTTL
+			}
+			if listed(held.holder) && now.Sub(held.used) < limit {
 				live = append(live, held)
 			}
 		}
