--- a/gateway/cachescan/cachescan.go
+++ b/gateway/cachescan/cachescan.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,7 +25,9 @@
 	// learnTime is how long after its start a daemon has learned from its peers
 	// or from servers what the caches hold.
 	learnTime   = 2 * time.Second
-	listTimeout = time.Second
+	listTimeout = 400 * time.Millisecond
+	// tellTime is how long it takes until peers have told what they learned.
+	tellTime = 120 * time.Millisecond
 )
 
 // Lister reads what a server's cache holds.
@@ -49,66 +52,83 @@
 	index   *warm.Index
 	peers   Peers
 	self    string // IP address
+	hurry   func() // has peers told soon
 	log     Log
 	started time.Time
-
-	asked map[warm.Holder]bool
+	learned chan struct{}
 }
 
 // New returns a scanner that does nothing before Run.
-func New(l Lister, c *catalog.Catalog, x *warm.Index, p Peers, self string, log Log) *Scanner {
-	return &Scanner{lister: l, catalog: c, index: x, peers: p, self: self, log: log,
-		started: time.Now(), asked: make(map[warm.Holder]bool)}
+func New(l Lister, c *catalog.Catalog, x *warm.Index, p Peers, self string, hurry func(), log Log) *Scanner {
+	return &Scanner{lister: l, catalog: c, index: x, peers: p, self: self, hurry: hurry, log: log,
+		started: time.Now(), learned: make(chan struct{})}
 }
 
 // Settled tells whether the daemon knows what its peers know.
 func (s *Scanner) Settled() bool { return time.Since(s.started) > learnTime }
 
-// Run asks servers while the daemon is new, unless a peer knows what they hold.
+// Learned returns a channel that is closed when the daemon knows as much as it
+// will learn from its peers and from servers at its start.
+func (s *Scanner) Learned() <-chan struct{} { return s.learned }
+
+// Run asks servers when the daemon is new, unless a peer knows what they hold.
 func (s *Scanner) Run(ctx context.Context) {
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
-	for !s.Settled() {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		if time.Since(s.started) < settle {
-			continue
-		}
-		if s.peerKnows() {
-			return
-		}
-		for _, server := range s.due() {
-			go s.ask(ctx, server)
+	defer close(s.learned)
+	ctx, cancel := context.WithTimeout(ctx, learnTime)
+	defer cancel()
+	if !s.await(ctx, func() bool { return s.catalog.View().Table != nil }) {
+		return
+	}
+	if !s.await(ctx, func() bool { return time.Since(s.started) >= settle }) {
+		return
+	}
+	if s.peerKnows() {
+		pause(ctx, tellTime)
+		return
+	}
+	s.askAll(ctx)
+	pause(ctx, tellTime)
+}
+
+// await returns true as soon as the condition holds, and false when the context
+// ends.
+func (s *Scanner) await(ctx context.Context, condition func() bool) bool {
+	for !condition() {
+		if !pause(ctx, tick) {
+			return false
 		}
 	}
+	return true
+}
+
+// pause returns false if the context ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
 }
 
 func (s *Scanner) peerKnows() bool {
 	return slices.ContainsFunc(s.peers.Alive(), func(p peers.Peer) bool { return p.Settled })
 }
 
-// due returns the servers that this daemon has to ask now.
-func (s *Scanner) due() []*catalog.Server {
+// askAll asks the servers that are this daemon's to ask.
+func (s *Scanner) askAll(ctx context.Context) {
 	view := s.catalog.View()
-	if view.Table == nil {
-		return nil
-	}
-	var due []*catalog.Server
+	var wg sync.WaitGroup
 	for _, server := range view.Servers {
 		service := view.Table.Service(server.Service)
-		holder := warm.Holder(server.Tag())
-		if service == nil || service.CacheSize == 0 || server.Draining || s.asked[holder] {
+		if service == nil || service.CacheSize == 0 || server.Draining || !s.owns(server.ID) {
 			continue
 		}
-		s.asked[holder] = true
-		if s.owns(server.ID) {
-			due = append(due, server)
-		}
+		wg.Go(func() { s.ask(ctx, server) })
 	}
-	return due
+	wg.Wait()
 }
 
 // owns tells whether this daemon is the one, of those that are heard, to ask
@@ -128,5 +148,8 @@
 	defer cancel()
 	parts, err := s.lister.List(ctx, server)
 	s.log.CacheListed(server.ID, len(parts), err)
+	// Long parts first: they are shared, and dear to compute.
+	slices.SortFunc(parts, func(a, b call.Part) int { return b.Tokens - a.Tokens })
 	s.index.Listed(parts, warm.Holder(server.Tag()))
+	s.hurry()
 }
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -100,7 +100,7 @@
 	d.peers = peers.NewTable(peers.Self{
 		IP: s.IP, Zone: s.Zone, Capacity: s.Cores, Seeds: hosts(s.Seeds),
 	}, boottime.Now, c)
-	d.scanner = cachescan.New(a.Lister, c, d.warm, d.peers, s.IP, d.log)
+	d.scanner = cachescan.New(a.Lister, c, d.warm, d.peers, s.IP, func() { d.exchange.Hurry() }, d.log)
 	d.reader = reader.New(a.Source, c, d.peers, boottime.Now, d.log)
 	d.handler = &ingress.Handler{
 		Dialect:  a.Dialect,
@@ -116,6 +116,7 @@
 		Settings: ingress.Settings{Zone: s.Zone, KeyLease: s.KeyLease},
 		Draining: d.timeLeft,
 		Hurry:    func() { d.exchange.Hurry() },
+		Learned:  d.scanner.Learned(),
 	}
 	d.callers = ingress.NewServer(d.handler)
 	d.pool.OnDial = d.dialed
--- a/gateway/ingress/handler.go
+++ b/gateway/ingress/handler.go
@@ -53,6 +53,8 @@
 	Settings Settings
 	// Hurry has the peers told soon where a prompt is being computed.
 	Hurry func()
+	// Learned is closed when the daemon has learned what caches hold.
+	Learned <-chan struct{}
 	// Draining returns the time left until the daemon ends, and whether it is
 	// about to.
 	Draining func() (left time.Duration, draining bool)
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -26,6 +26,7 @@
 
 // run sends the request until it has an answer or nothing more may be tried.
 func (q *query) run(ctx context.Context, w http.ResponseWriter) {
+	q.awaitLearned(ctx)
 	attempts := 0 // those that may have run
 	for sends := 0; sends < maxSends; sends++ {
 		if q.remaining() < minRemaining {
@@ -63,6 +64,24 @@
 	q.giveUp(w, q.last().Reason, fullRetry)
 }
 
+// maxLearnWait bounds how long a prompt waits at a daemon's start until it is
+// known where its parts are cached.
+const maxLearnWait = 400 * time.Millisecond
+
+// awaitLearned keeps a prompt from being computed anew because the daemon has
+// just started.
+func (q *query) awaitLearned(ctx context.Context) {
+	if len(q.call.SharedParts()) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxLearnWait)
+	defer cancel()
+	select {
+	case <-q.h.Learned:
+	case <-ctx.Done():
+	}
+}
+
 // offered tells whether a server has seen any of the request.
 func (q *query) offered() bool {
 	for i := range q.rec.Attempts {
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -4,7 +4,9 @@
 package placement
 
 import (
+	"cmp"
 	"math"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -65,12 +67,10 @@
 }
 
 const (
-	// missingWeight is what a token to compute weighs against one that the
-	// server computes for another request. It is high, since the token may well
-	// be under computation at another server.
-	missingWeight = 6
-	// fetchedWeight is the same for a token that another server hands over.
-	fetchedWeight = 1
+	// missingWeight is what a token to compute weighs against one that a server
+	// computes for another request. It is high, since another server may well
+	// have it, or compute it already.
+	missingWeight = 15
 	// tokensPerRequest is how many tokens more a server may have to compute for
 	// each request in flight that it has less than another. Short prompts so
 	// leave a busy server before long ones do.
@@ -78,11 +78,13 @@
 	// tokensPerUse is the same for each prompt that a server has got of late.
 	// It spreads prompts that no server has yet.
 	tokensPerUse = 30
+	// tokensPerRank is the same for each place in the rendezvous order of a
+	// prompt that no server has yet. Daemons that don't hear each other so
+	// mostly choose the same server.
+	tokensPerRank = 0
 )
 
-// Prompt chooses a server for a request with a prompt. Where several servers
-// are as good, the rendezvous order of the prompt's last shared part decides,
-// so that daemons that know the same choose the same. It returns the index of
+// Prompt chooses a server for a request with a prompt. It returns the index of
 // the choice, -1 if there is no candidate.
 func Prompt(candidates []Candidate, shared []call.Part, b Bound) (int, Cause) {
 	if len(candidates) == 0 {
@@ -94,22 +96,19 @@
 	mean, usage := means(candidates)
 	limit := b.limit(mean)
 	known := anyWarm(candidates, limit)
-	key := shared[len(shared)-1].ID
+	ranks := rendezvous(candidates, shared[len(shared)-1].ID)
 	best, bestCost := -1, math.Inf(1)
-	var bestWeight uint64
 	for i := range candidates {
 		c := &candidates[i]
 		if c.load() >= limit {
 			continue
 		}
-		cost := missingWeight*float64(c.Missing-c.Fetched) + fetchedWeight*float64(c.Fetched) + float64(c.Queued) +
-			tokensPerRequest*math.Max(0, c.load()-mean)
+		cost := c.promptCost() + tokensPerRequest*math.Max(0, c.load()-mean)
 		if !known {
-			cost += tokensPerUse * math.Max(0, c.Usage-usage)
+			cost += tokensPerUse*math.Max(0, c.Usage-usage) + tokensPerRank*float64(ranks[i])
 		}
-		weight := rendezvous(key, c.ID)
-		if cost < bestCost || cost == bestCost && weight > bestWeight {
-			best, bestCost, bestWeight = i, cost, weight
+		if cost < bestCost || cost == bestCost && ranks[i] < ranks[best] {
+			best, bestCost = i, cost
 		}
 	}
 	if best < 0 {
@@ -118,6 +117,11 @@
 	return best, cause(candidates, best, known)
 }
 
+// promptCost is what the prompt costs at a server, in tokens.
+func (c *Candidate) promptCost() float64 {
+	return float64(c.Queued+c.Fetched) + missingWeight*float64(c.Missing-c.Fetched)
+}
+
 func cause(candidates []Candidate, chosen int, known bool) Cause {
 	switch {
 	case candidates[chosen].Missing == 0 && !candidates[chosen].Ready:
@@ -142,8 +146,21 @@
 	return false
 }
 
-// rendezvous returns the weight of a server for a key.
-func rendezvous(key uint64, id string) uint64 { return mix(key ^ xxhash.Sum64String(id)) }
+// rendezvous returns each candidate's place in the rendezvous order of a key.
+func rendezvous(candidates []Candidate, key uint64) []int {
+	weights := make([]uint64, len(candidates))
+	order := make([]int, len(candidates))
+	for i := range candidates {
+		weights[i] = mix(key ^ xxhash.Sum64String(candidates[i].ID))
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(weights[b], weights[a]) })
+	ranks := make([]int, len(candidates))
+	for rank, i := range order {
+		ranks[i] = rank
+	}
+	return ranks
+}
 
 // mix spreads the bits of a 64-bit number (the finalizer of SplitMix64).
 func mix(x uint64) uint64 {
--- a/gateway/warm/warm.go
+++ b/gateway/warm/warm.go
@@ -20,7 +20,7 @@
 	pendingTTL  = 3 * time.Second
 	usageDecay  = 8 * time.Second
 	maxRecent   = 64  // own placements that wait to be told
-	maxListed   = 128 // listed entries told with each message
+	maxListed   = 300 // listed entries told with each message
 	refreshSize = 16  // older entries told with each message
 )
 
