--- a/gateway/cachescan/cachescan.go
+++ b/gateway/cachescan/cachescan.go
@@ -28,6 +28,9 @@
 	listTimeout = 400 * time.Millisecond
 	// tellTime is how long it takes until peers have told what they learned.
 	tellTime = 120 * time.Millisecond
+	// maxTold bounds the parts of one server that are told. Most of the short
+	// ones belong to one request alone.
+	maxTold = 150
 )
 
 // Lister reads what a server's cache holds.
@@ -150,6 +153,7 @@
 	s.log.CacheListed(server.ID, len(parts), err)
 	// Long parts first: they are shared, and dear to compute.
 	slices.SortFunc(parts, func(a, b call.Part) int { return b.Tokens - a.Tokens })
+	parts = parts[:min(len(parts), maxTold)]
 	s.index.Listed(parts, warm.Holder(server.Tag()))
 	s.hurry()
 }
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -141,10 +141,10 @@
 
 // candidates returns the servers that were not tried, those that rest apart.
 func (q *query) candidates(servers []*catalog.Server) (ready, resting []placement.Candidate) {
-	ids := make([]string, len(servers))
+	ids := make([]uint32, len(servers))
 	work := make([]load.Work, len(servers))
 	for i, s := range servers {
-		ids[i] = s.ID
+		ids[i] = s.Tag()
 	}
 	q.h.Loads.InFlight(ids, work)
 	have, usage := q.prompts(servers)
@@ -243,7 +243,7 @@
 	q.tried[s.ID] = true
 	q.rec.Attempts = append(q.rec.Attempts, Attempt{Server: s.ID, InFlight: chosen.InFlight, Queued: chosen.Queued, Prompt: q.sharedTokens(), Missing: chosen.Missing, Cause: chosen.cause})
 	a := q.last()
-	q.entry = q.h.Loads.Begin(s.ID, q.toCompute(chosen.Missing))
+	q.entry = q.h.Loads.Begin(s.Tag(), q.toCompute(chosen.Missing))
 	q.h.Warm.Placed(q.call.SharedParts(), warm.Holder(s.Tag()))
 	if chosen.Missing > 0 {
 		q.h.Hurry()
@@ -322,7 +322,8 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	q.h.Health.Unreachable(s.ID)
+	// A server that has crashed refuses the next connection and then rests.
+	q.h.Health.Failed(s.ID)
 	q.h.Suspects.Broke(q.print)
 	return q.route.Repeatable()
 }
--- a/gateway/load/load.go
+++ b/gateway/load/load.go
@@ -12,8 +12,8 @@
 
 // Work is what a server has in flight.
 type Work struct {
-	Requests int `json:"n"`
-	Tokens   int `json:"t,omitempty"` // of prompts that are still being computed
+	Requests int
+	Tokens   int // of prompts that are still being computed
 }
 
 func (w Work) plus(o Work) Work {
@@ -29,29 +29,29 @@
 	now func() time.Time
 
 	mu    sync.Mutex
-	own   map[string]Work // by server ID
+	own   map[uint32]Work // by the tag of the server's incarnation
 	peers map[string]*peerWork
-	sum   map[string]Work // of the peers' work
+	sum   map[uint32]Work // of the peers' work
 }
 
 type peerWork struct {
 	heard time.Time
-	work  map[string]Work
+	work  map[uint32]Work
 }
 
 // New returns an empty table.
 func New(now func() time.Time) *Table {
 	return &Table{
 		now:   now,
-		own:   make(map[string]Work),
+		own:   make(map[uint32]Work),
 		peers: make(map[string]*peerWork),
-		sum:   make(map[string]Work),
+		sum:   make(map[uint32]Work),
 	}
 }
 
 // Begin counts a request that is about to be sent, with the tokens of its
 // prompt that the server has to compute.
-func (t *Table) Begin(server string, tokens int) *Entry {
+func (t *Table) Begin(server uint32, tokens int) *Entry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.own[server] = t.own[server].plus(Work{Requests: 1, Tokens: tokens})
@@ -61,7 +61,7 @@
 // Entry is one request in flight.
 type Entry struct {
 	table  *Table
-	server string
+	server uint32
 	tokens int // still counted
 
 	computed bool
@@ -85,7 +85,7 @@
 	e.tokens = 0
 }
 
-func (t *Table) subtract(server string, w Work) {
+func (t *Table) subtract(server uint32, w Work) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	left := t.own[server].minus(w)
@@ -97,10 +97,10 @@
 }
 
 // Own returns a copy of this daemon's counts.
-func (t *Table) Own() map[string]Work {
+func (t *Table) Own() map[uint32]Work {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	own := make(map[string]Work, len(t.own))
+	own := make(map[uint32]Work, len(t.own))
 	for server, w := range t.own {
 		own[server] = w
 	}
@@ -108,7 +108,7 @@
 }
 
 // SetPeer replaces the counts of a peer.
-func (t *Table) SetPeer(peer string, work map[string]Work) {
+func (t *Table) SetPeer(peer string, work map[uint32]Work) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.drop(peer)
@@ -148,7 +148,7 @@
 }
 
 // InFlight sets what each of the servers has in flight from all daemons.
-func (t *Table) InFlight(servers []string, work []Work) {
+func (t *Table) InFlight(servers []uint32, work []Work) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for i, s := range servers {
--- a/gateway/peers/exchange.go
+++ b/gateway/peers/exchange.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/binary"
-	"encoding/json"
 	"errors"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"cassialatch.dev/gateway/boottime"
 	"cassialatch.dev/gateway/catalog"
 	"cassialatch.dev/gateway/load"
@@ -129,7 +131,7 @@
 }
 
 func (e *Exchange) send() {
-	body, err := json.Marshal(e.message())
+	body, err := cbor.Marshal(e.message())
 	if err != nil {
 		panic("peers: a message has no encoding: " + err.Error()) // its fields all have one
 	}
@@ -148,7 +150,7 @@
 	status := e.status()
 	m := &Message{
 		Zone:     e.table.self.Zone,
-		Capacity: e.table.self.Capacity,
+		Capacity: float32(e.table.self.Capacity),
 		Ready:    status.Ready,
 		Leaving:  status.Leaving,
 		Settled:  status.Settled,
@@ -156,9 +158,9 @@
 		Hash:     view.Hash,
 		AgeMS:    -1,
 		Alive:    e.table.names(e.round),
-		InFlight: e.loads.Own(),
+		InFlight: e.ownWork(),
 		Broken:   e.suspects.Own(),
-		Warm:     packWarm(e.warm.Tell()),
+		Warm:     e.warm.Tell(e.table.peerIsNew()),
 	}
 	e.table.mu.Lock()
 	m.Reading = e.table.reading
@@ -190,13 +192,13 @@
 		return
 	}
 	var m Message
-	if json.Unmarshal(b[headerBytes:], &m) != nil {
+	if cbor.Unmarshal(b[headerBytes:], &m) != nil {
 		return // not from a daemon of this fleet
 	}
 	e.table.heardFrom(ip, h, &m)
-	e.loads.SetPeer(ip, m.InFlight)
+	e.loads.SetPeer(ip, peerWork(m.InFlight))
 	e.suspects.Told(ip, m.Broken)
-	e.warm.Told(unpackWarm(m.Warm))
+	e.warm.Told(m.Warm)
 	e.learn(ctx, ip, h, &m)
 }
 
@@ -216,21 +218,27 @@
 	}
 }
 
-// packWarm flattens entries, which is shorter than objects.
-func packWarm(entries []warm.Entry) []uint32 {
-	flat := make([]uint32, 0, 3*len(entries))
-	for _, e := range entries {
-		flat = append(flat, uint32(e.Part), uint32(e.Holder), e.AgeMS)
+// ownWork returns what this daemon has in flight.
+func (e *Exchange) ownWork() []Work {
+	own := e.loads.Own()
+	work := make([]Work, 0, len(own))
+	for tag, w := range own {
+		work = append(work, Work{Server: tag, Requests: w.Requests, Tokens: w.Tokens})
 	}
-	return flat
+	return work
 }
 
-func unpackWarm(flat []uint32) []warm.Entry {
-	entries := make([]warm.Entry, 0, len(flat)/3)
-	for i := 0; i+2 < len(flat); i += 3 {
-		entries = append(entries, warm.Entry{
-			Part: warm.PartKey(flat[i]), Holder: warm.Holder(flat[i+1]), AgeMS: flat[i+2],
-		})
+// peerWork turns a peer's list into counts.
+func peerWork(list []Work) map[uint32]load.Work {
+	counts := make(map[uint32]load.Work, len(list))
+	for _, w := range list {
+		counts[w.Server] = load.Work{Requests: w.Requests, Tokens: w.Tokens}
 	}
-	return entries
+	return counts
+}
+
+// peerIsNew tells whether a peer has started of late and has to learn what
+// caches hold.
+func (t *Table) peerIsNew() bool {
+	return slices.ContainsFunc(t.Alive(), func(p Peer) bool { return !p.Settled })
 }
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -16,8 +16,8 @@
 
 	"cassialatch.dev/gateway/boottime"
 	"cassialatch.dev/gateway/catalog"
-	"cassialatch.dev/gateway/load"
 	"cassialatch.dev/gateway/suspect"
+	"cassialatch.dev/gateway/warm"
 )
 
 const (
@@ -38,28 +38,37 @@
 	Capacity float64  // cores
 }
 
-// Message is what daemons tell each other.
+// Message is what daemons tell each other, encoded as an array.
 type Message struct {
-	Zone     string               `json:"z"`
-	Capacity float64              `json:"w"`
-	Ready    bool                 `json:"r,omitempty"`
-	Leaving  bool                 `json:"l,omitempty"`
-	Settled  bool                 `json:"k,omitempty"` // knows what caches hold
-	Reading  bool                 `json:"s,omitempty"` // its last poll of the store succeeded
-	Revision int64                `json:"v"`
-	Hash     uint64               `json:"h"`
-	AgeMS    int64                `json:"a"` // of its last confirmation, -1: none
-	Alive    []string             `json:"p,omitempty"`
-	InFlight map[string]load.Work `json:"i,omitempty"`
-	Broken   []suspect.Count      `json:"b,omitempty"`
-	Warm     []uint32             `json:"c,omitempty"` // triples: part, holder, age in ms
+	_        struct{} `cbor:",toarray"`
+	Zone     string
+	Capacity float32 // cores
+	Ready    bool
+	Leaving  bool
+	Settled  bool // knows what caches hold
+	Reading  bool // its last poll of the store succeeded
+	Revision int64
+	Hash     uint64
+	AgeMS    int64 // of its last confirmation, -1: none
+	Alive    []string
+	InFlight []Work
+	Broken   []suspect.Count
+	Warm     []warm.Entry
+}
+
+// Work is what the sender has in flight at a server.
+type Work struct {
+	_        struct{} `cbor:",toarray"`
+	Server   uint32   // tag of the incarnation
+	Requests int
+	Tokens   int // of prompts that are still being computed
 }
 
 // Peer is another daemon.
 type Peer struct {
 	IP       string
 	Zone     string
-	Capacity float64
+	Capacity float32 // cores
 	Ready    bool
 	Leaving  bool
 	Reading  bool
--- a/gateway/suspect/suspect.go
+++ b/gateway/suspect/suspect.go
@@ -32,8 +32,9 @@
 
 // Count is how often a request was running when its server broke off.
 type Count struct {
-	Fingerprint uint64 `json:"f"`
-	Broken      int    `json:"n"`
+	_           struct{} `cbor:",toarray"`
+	Fingerprint uint64
+	Broken      int
 }
 
 // Table is safe for concurrent use.
--- a/gateway/warm/warm.go
+++ b/gateway/warm/warm.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,7 +22,8 @@
 	usageDecay  = 8 * time.Second
 	maxRecent   = 64  // own placements that wait to be told
 	maxListed   = 300 // listed entries told with each message
-	refreshSize = 16  // older entries told with each message
+	refreshSize = 6   // older parts told with each message
+	newPeerSize = 48  // the same, while a peer is new
 )
 
 // Holder names an incarnation of a server in short.
@@ -35,6 +37,7 @@
 
 // Entry tells that a server has a part, in the form that peers are told.
 type Entry struct {
+	_      struct{} `cbor:",toarray"`
 	Part   PartKey
 	Holder Holder
 	AgeMS  uint32 // since it was last used; 0: the server still has to compute the part
@@ -61,6 +64,7 @@
 	order  []PartKey // in which entries are told and swept
 	cursor int
 	recent []Entry // own placements since the last Tell
+	told   []Entry // those of the last Tell, told twice since datagrams may be lost
 	listed []Entry // own listings that wait to be told
 	usage  map[Holder]*usage
 }
@@ -230,18 +234,23 @@
 	return nil
 }
 
-// Tell returns the own placements since the last call, and some older entries
-// in turn, for daemons that have started since.
-func (x *Index) Tell() []Entry {
+// Tell returns the own placements since the last call and some older entries in
+// turn: a few for peers that have missed a message, more if a peer is new.
+func (x *Index) Tell(newPeer bool) []Entry {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	entries := x.recent
+	entries := slices.Concat(x.recent, x.told)
+	x.told = x.recent
 	x.recent = nil
 	n := min(len(x.listed), maxListed)
 	entries = append(entries, x.listed[:n]...)
 	x.listed = x.listed[n:]
+	refresh := refreshSize
+	if newPeer {
+		refresh = newPeerSize
+	}
 	now := x.now()
-	for range min(refreshSize, len(x.order)) {
+	for range min(refresh, len(x.order)) {
 		x.cursor = (x.cursor + 1) % len(x.order)
 		part := x.order[x.cursor]
 		for _, held := range x.parts[part] {
