--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -23,7 +23,7 @@
 	Missing  int     // tokens of the prompt's shared parts that its cache lacks
 	Fetched  int     // of these, tokens that another server's cache has ready
 	Ready    bool    // it has computed the other shared parts
-	Usage    float64 // prompts that it has got of late
+	Usage    float64 // parts of prompts that it was sent of late
 }
 
 // Cause tells why a server was chosen.
@@ -75,9 +75,9 @@
 	// each request in flight that it has less than another. Short prompts so
 	// leave a busy server before long ones do.
 	tokensPerRequest = 120
-	// tokensPerUse is the same for each prompt that a server has got of late.
+	// tokensPerUse is the same for each part of a prompt sent to it of late.
 	// It spreads prompts that no server has yet.
-	tokensPerUse = 30
+	tokensPerUse = 15
 	// tokensPerRank is the same for each place in the rendezvous order of a
 	// prompt that no server has yet. Daemons that don't hear each other so
 	// mostly choose the same server.
--- a/gateway/warm/warm.go
+++ b/gateway/warm/warm.go
@@ -5,7 +5,6 @@
 
 import (
 	"math"
-	"slices"
 	"sync"
 	"time"
 
@@ -64,12 +63,12 @@
 	order  []PartKey // in which entries are told and swept
 	cursor int
 	recent []Entry // own placements since the last Tell
-	told   []Entry // those of the last Tell, told twice since datagrams may be lost
 	listed []Entry // own listings that wait to be told
 	usage  map[Holder]*usage
 }
 
-// usage is how many prompts a holder has got of late, decayed exponentially.
+// usage is how many parts of prompts a holder was sent of late, decayed
+// exponentially.
 type usage struct {
 	count float64
 	at    time.Time
@@ -90,12 +89,9 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := x.now()
-	x.use(h, now)
-	for i, p := range shared {
+	for _, p := range shared {
+		x.use(h, now)
 		x.note(KeyOf(p), h, now, false)
-		if i < len(shared)-1 {
-			continue // peers count one use a prompt, and learn the others when computed
-		}
 		if len(x.recent) < maxRecent {
 			x.recent = append(x.recent, Entry{Part: KeyOf(p), Holder: h})
 		}
@@ -148,7 +144,7 @@
 	}
 }
 
-// use counts a prompt. x.mu is held.
+// use counts a part. x.mu is held.
 func (x *Index) use(h Holder, now time.Time) {
 	u, ok := x.usage[h]
 	if !ok {
@@ -159,7 +155,7 @@
 	u.at = now
 }
 
-// Usage sets how many prompts each holder has got of late.
+// Usage sets how many parts of prompts each holder was sent of late.
 func (x *Index) Usage(holders []Holder, counts []float64) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -239,8 +235,7 @@
 func (x *Index) Tell(newPeer bool) []Entry {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	entries := slices.Concat(x.recent, x.told)
-	x.told = x.recent
+	entries := x.recent
 	x.recent = nil
 	n := min(len(x.listed), maxListed)
 	entries = append(entries, x.listed[:n]...)
