--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -81,7 +81,7 @@
 	// tokensPerRank is the same for each place in the rendezvous order of a
 	// prompt that no server has yet. Daemons that don't hear each other so
 	// mostly choose the same server.
-	tokensPerRank = 0
+	tokensPerRank = 150
 )
 
 // Prompt chooses a server for a request with a prompt. It returns the index of
@@ -96,7 +96,7 @@
 	mean, usage := means(candidates)
 	limit := b.limit(mean)
 	known := anyWarm(candidates, limit)
-	ranks := rendezvous(candidates, shared[len(shared)-1].ID)
+	ranks := rendezvous(candidates, shared[0].ID)
 	best, bestCost := -1, math.Inf(1)
 	for i := range candidates {
 		c := &candidates[i]
