--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -81,7 +81,7 @@
 	// tokensPerRank is the same for each place in the rendezvous order of a
 	// prompt that no server has yet. Daemons that don't hear each other so
 	// mostly choose the same server.
-	tokensPerRank = 150
+	tokensPerRank = 600
 )
 
 // Prompt chooses a server for a request with a prompt. It returns the index of
