--- /dev/null
+++ b/gateway/placement/placement_test.go
@@ -0,0 +1,128 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"cassialatch.dev/gateway/call"
+)
+
+// servers returns idle candidates that lack a prompt of the given size.
+func servers(n, tokens int) []Candidate {
+	all := make([]Candidate, n)
+	for i := range all {
+		all[i] = Candidate{ID: fmt.Sprintf("s%d", i), Missing: tokens}
+	}
+	return all
+}
+
+func prompt(group, subject uint64, tokens int) []call.Part {
+	return []call.Part{{ID: group, Tokens: 100}, {ID: subject, Tokens: tokens}}
+}
+
+func TestAPromptGoesWhereItIsCached(t *testing.T) {
+	is := is.New(t)
+	all := servers(9, 10_100)
+	all[4].Missing, all[4].Ready, all[4].InFlight = 0, true, 3
+	i, cause := Prompt(all, prompt(1, 2, 10_000), ForPrompt)
+	is.Equal(i, 4)
+	is.Equal(cause, CauseWarm)
+}
+
+// Load pattern: one subject gets much of the traffic. Its server fills up to
+// the bound; from then on the prompt spreads to others.
+func TestAHotPromptSpreadsAtTheBound(t *testing.T) {
+	is := is.New(t)
+	all := servers(9, 10_100)
+	all[0].Missing, all[0].Ready = 0, true
+	for range 200 {
+		i, _ := Prompt(all, prompt(1, 2, 10_000), ForPrompt)
+		all[i].InFlight++
+		all[i].Missing, all[i].Ready = 0, true
+		for j := range all {
+			all[j].Fetched = all[j].Missing // the first server hands it over
+		}
+	}
+	total, most := 0, 0
+	for _, c := range all {
+		total += c.InFlight
+		most = max(most, c.InFlight)
+	}
+	const capFactor, capSlack = 2, 3 // the operators' bound on any server's load
+	mean := float64(total) / float64(len(all))
+	is.True(float64(most) <= capFactor*mean+capSlack)
+}
+
+// Load pattern: a crest of long prompts that no server has yet. They spread, so
+// that none waits behind several others.
+func TestColdLongPromptsSpread(t *testing.T) {
+	is := is.New(t)
+	all := servers(9, 10_100)
+	for n := range uint64(18) {
+		i, cause := Prompt(all, prompt(n%3, 100+n, 10_000), ForPrompt)
+		is.Equal(cause, CauseCold)
+		all[i].InFlight++
+		all[i].Queued += 10_100
+	}
+	for _, c := range all {
+		is.True(c.Queued <= 4*10_100) // 18 prompts over 9 servers
+	}
+}
+
+// Load pattern: callers ask again for a prompt that is still being computed.
+// They wait at its server rather than have it computed twice.
+func TestAPendingPromptIsNotComputedTwice(t *testing.T) {
+	is := is.New(t)
+	all := servers(9, 10_100)
+	all[3].Missing, all[3].Ready = 0, false
+	all[3].InFlight, all[3].Queued = 1, 10_100
+	i, cause := Prompt(all, prompt(1, 2, 10_000), ForPrompt)
+	is.Equal(i, 3)
+	is.Equal(cause, CausePending)
+}
+
+// Load pattern: the fleet of daemons is split; both halves get the same new
+// prompts. They choose the same server although neither hears the other.
+func TestSplitDaemonsChooseTheSameForNewPrompts(t *testing.T) {
+	is := is.New(t)
+	for n := range uint64(50) {
+		p := prompt(n, 100+n, 2_000)
+		a, b := servers(9, 2_100), servers(9, 2_100)
+		b[0].InFlight, b[5].InFlight = 1, 2 // what only one half knows
+		i, _ := Prompt(a, p, ForPrompt)
+		j, _ := Prompt(b, p, ForPrompt)
+		is.Equal(i, j)
+	}
+}
+
+// Load pattern: a fifth of the servers is slow or fails. They get no prompt
+// while the others have room.
+func TestFailingServersGetNothingWhileOthersHaveRoom(t *testing.T) {
+	is := is.New(t)
+	all := servers(10, 700)
+	for i := range all {
+		all[i].InFlight = 4
+	}
+	all[2].Missing, all[2].Ready = 0, true
+	all[2].Penalty, all[7].Penalty = 15, 15
+	i, cause := Prompt(all, prompt(1, 2, 600), ForPrompt)
+	is.True(i != 2 && i != 7)
+	is.Equal(cause, CauseBound)
+}
+
+func TestWithoutCandidatesThereIsNoChoice(t *testing.T) {
+	is := is.New(t)
+	i, _ := Prompt(nil, prompt(1, 2, 3), ForPrompt)
+	is.Equal(i, -1)
+	is.Equal(Least(nil, "a"), -1)
+}
+
+func TestPlainRequestsPreferTheirZone(t *testing.T) {
+	is := is.New(t)
+	all := []Candidate{{ID: "a", Zone: "x", InFlight: 1}, {ID: "b", Zone: "y", InFlight: 1}}
+	is.Equal(Least(all, "y"), 1)
+	all[1].InFlight = 2
+	is.Equal(Least(all, "y"), 0)
+}
--- /dev/null
+++ b/gateway/retry/retry_test.go
@@ -0,0 +1,73 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func one() int { return 1 }
+
+// Load pattern: answers are lost while callers repeat at once. In no window do
+// retries exceed the ratio of requests and the slack.
+func TestRetriesStayWithinTheBoundInAnyWindow(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	o := Options{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}
+	b := New(o, one, func() time.Time { return now })
+	type event struct {
+		at    time.Time
+		retry bool
+	}
+	var events []event
+	for step := range 4000 {
+		now = now.Add(20 * time.Millisecond)
+		if step/500%2 == 0 { // traffic comes and goes
+			b.Request("s")
+			events = append(events, event{at: now})
+		}
+		for range 3 {
+			if b.Allow("s") {
+				events = append(events, event{at: now, retry: true})
+			}
+		}
+	}
+	for i, first := range events {
+		requests, retries := 0, 0
+		for _, e := range events[i:] {
+			if e.at.Sub(first.at) >= o.Window {
+				break
+			}
+			if e.retry {
+				retries++
+			} else {
+				requests++
+			}
+		}
+		// The requests of the window before count too where they are more.
+		before := 0
+		for _, e := range events[:i] {
+			if !e.retry && first.at.Sub(e.at) <= o.Window {
+				before++
+			}
+		}
+		is.True(float64(retries) <= o.Ratio*float64(max(requests, before))+o.Slack)
+	}
+}
+
+func TestTheSlackIsShared(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	o := Options{Ratio: 0, Slack: 90, Window: 10 * time.Second}
+	b := New(o, func() int { return 9 }, func() time.Time { return now })
+	allowed := 0
+	for range 100 {
+		if b.Allow("s") {
+			allowed++
+		}
+	}
+	is.True(allowed <= 10)
+	is.True(allowed >= 5)
+	is.True(b.Allow("another service"))
+}
--- a/gateway/sse/sse.go
+++ b/gateway/sse/sse.go
@@ -41,12 +41,31 @@
 
 // boundary returns the end of the last whole event; 0 if there is none.
 func boundary(b []byte) int {
-	lf := bytes.LastIndex(b, []byte("\n\n"))
-	crlf := bytes.LastIndex(b, []byte("\r\n\r\n"))
-	if lf < 0 && crlf < 0 {
-		return 0
+	end := 0
+	for {
+		n := firstEvent(b[end:])
+		if n == 0 {
+			return end
+		}
+		end += n
+	}
+}
+
+// firstEvent returns the size of the first event with the empty line that ends
+// it; 0 if it is not whole.
+func firstEvent(b []byte) int {
+	for i, c := range b {
+		if c != '\n' {
+			continue
+		}
+		switch rest := b[i+1:]; {
+		case bytes.HasPrefix(rest, []byte("\n")):
+			return i + 2
+		case bytes.HasPrefix(rest, []byte("\r\n")):
+			return i + 3
+		}
 	}
-	return max(lf+2, crlf+4)
+	return 0
 }
 
 // lastEventID returns the value of the last "id" field.
--- /dev/null
+++ b/gateway/sse/sse_test.go
@@ -0,0 +1,60 @@
+package sse
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestOnlyWholeEventsPass(t *testing.T) {
+	is := is.New(t)
+	var s Splitter
+	s.Write([]byte("id: 1\ndata: a\n\nid: 2\nda"))
+	events, id := s.Whole()
+	is.Equal(string(events), "id: 1\ndata: a\n\n")
+	is.Equal(id, "1")
+	s.Discard()
+	events, _ = s.Whole()
+	is.Equal(len(events), 0)
+	is.Equal(string(s.Rest()), "id: 2\nda")
+	s.Write([]byte("ta: b\n\n"))
+	events, id = s.Whole()
+	is.Equal(string(events), "id: 2\ndata: b\n\n")
+	is.Equal(id, "2")
+	s.Discard()
+	is.Equal(len(s.Rest()), 0)
+}
+
+func TestLineEndsOfEitherKind(t *testing.T) {
+	is := is.New(t)
+	var s Splitter
+	s.Write([]byte("id: 7\r\ndata: a\r\n\r\nid"))
+	events, id := s.Whole()
+	is.Equal(string(events), "id: 7\r\ndata: a\r\n\r\n")
+	is.Equal(id, "7")
+}
+
+// Whatever the boundaries of reads, the events that pass are the same.
+func FuzzSplits(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid"), uint8(3))
+	f.Add([]byte("\n\n\n\n"), uint8(1))
+	f.Fuzz(func(t *testing.T, stream []byte, step uint8) {
+		var whole Splitter
+		whole.Write(stream)
+		want, _ := whole.Whole()
+		var parts Splitter
+		var got []byte
+		size := int(step%7) + 1
+		for i := 0; i < len(stream); i += size {
+			parts.Write(stream[i:min(i+size, len(stream))])
+			events, _ := parts.Whole()
+			got = append(got, events...)
+			if len(events) > 0 {
+				parts.Discard()
+			}
+		}
+		if string(got) != string(want) {
+			t.Fatalf("got %q, want %q", got, want)
+		}
+	})
+}
--- a/gateway/suspect/suspect.go
+++ b/gateway/suspect/suspect.go
@@ -126,7 +126,7 @@
 	e, ok := t.entries[fp]
 	if !ok {
 		if len(t.entries) >= maxKnown {
-			t.expire()
+			t.evict()
 		}
 		e = &entry{latest: t.now()}
 		t.entries[fp] = e
@@ -134,6 +134,24 @@
 	return e
 }
 
+// evict makes room for an entry. It takes the oldest of a few, since a look at
+// all of them for each new one would be dear in a mass crash. t.mu is held.
+func (t *Table) evict() {
+	const sample = 8
+	var oldest uint64
+	var at time.Time
+	seen := 0
+	for fp, e := range t.entries {
+		if seen == 0 || e.latest.Before(at) {
+			oldest, at = fp, e.latest
+		}
+		if seen++; seen == sample {
+			break
+		}
+	}
+	delete(t.entries, oldest)
+}
+
 // expire forgets old entries. t.mu is held.
 func (t *Table) expire() {
 	now := t.now()
--- /dev/null
+++ b/gateway/warm/warm_test.go
@@ -0,0 +1,113 @@
+package warm
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cassialatch.dev/gateway/call"
+)
+
+var (
+	system  = call.Part{ID: 1, Tokens: 500}
+	subject = call.Part{ID: 2, Tokens: 10_000}
+	shared  = []call.Part{system, subject}
+)
+
+func lookup(x *Index, holders ...Holder) []Have {
+	have := make([]Have, len(holders))
+	x.Lookup(shared, holders, have)
+	return have
+}
+
+func TestAPartCountsOnlyAfterAllBeforeIt(t *testing.T) {
+	is := is.New(t)
+	x := New(time.Now)
+	x.Listed([]call.Part{subject}, 7)
+	x.Listed([]call.Part{system}, 8)
+	have := lookup(x, 7, 8, 9)
+	is.Equal(have[0].Missing, 10_500)
+	is.Equal(have[1].Missing, 10_000)
+	is.Equal(have[2].Missing, 10_500)
+}
+
+func TestAPromptIsPendingUntilItIsComputed(t *testing.T) {
+	is := is.New(t)
+	x := New(time.Now)
+	x.Placed(shared, 7)
+	is.Equal(lookup(x, 7)[0], Have{Missing: 0, Ready: false})
+	x.Computed(shared, 7)
+	is.Equal(lookup(x, 7)[0], Have{Missing: 0, Ready: true})
+}
+
+// A peer that was told only of the last part took the prompt for unknown.
+func TestPeersLearnBothPartsOfAPendingPrompt(t *testing.T) {
+	is := is.New(t)
+	a, b := New(time.Now), New(time.Now)
+	a.Placed(shared, 7)
+	b.Told(a.Tell(false))
+	is.Equal(lookup(b, 7)[0], Have{Missing: 0, Ready: false})
+	a.Computed(shared, 7)
+	b.Told(a.Tell(false))
+	is.Equal(lookup(b, 7)[0], Have{Missing: 0, Ready: true})
+}
+
+// Load pattern: all daemons restart at once; a daemon that starts later learns
+// what the others know from their regular messages.
+func TestANewDaemonLearnsTheIndex(t *testing.T) {
+	is := is.New(t)
+	a, b := New(time.Now), New(time.Now)
+	const parts = 300
+	for i := range uint64(parts) {
+		a.Listed([]call.Part{{ID: 100 + i, Tokens: 10}}, 7)
+	}
+	for range parts/newPeerSize + 1 {
+		b.Told(a.Tell(true))
+	}
+	is.Equal(len(b.parts), parts)
+}
+
+func TestWhatIsToldDoesNotGrowYounger(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	clock := func() time.Time { return now }
+	a, b := New(clock), New(clock)
+	a.Computed(shared, 7)
+	for range 10 { // two daemons tell each other in turn
+		now = now.Add(ttl / 5)
+		b.Told(a.Tell(true))
+		a.Told(b.Tell(true))
+	}
+	all := func(Holder) bool { return true }
+	a.Expire(all)
+	b.Expire(all)
+	is.Equal(lookup(a, 7)[0].Missing, 10_500)
+	is.Equal(lookup(b, 7)[0].Missing, 10_500)
+}
+
+func TestPartsOfServersThatAreGoneAreForgotten(t *testing.T) {
+	is := is.New(t)
+	x := New(time.Now)
+	x.Listed(shared, 7)
+	x.Listed(shared, 8)
+	x.Expire(func(h Holder) bool { return h == 8 })
+	have := lookup(x, 7, 8)
+	is.Equal(have[0].Missing, 10_500)
+	is.Equal(have[1].Missing, 0)
+}
+
+func TestTheIndexIsBounded(t *testing.T) {
+	is := is.New(t)
+	x := New(time.Now)
+	for i := range uint64(2 * maxParts) {
+		x.Placed([]call.Part{{ID: i}}, 7)
+	}
+	for h := range Holder(20) {
+		x.Placed(shared[:0:0], h)
+		x.Listed([]call.Part{{ID: 1}}, h)
+	}
+	is.True(len(x.parts) <= maxParts)
+	is.True(len(x.parts[1]) <= maxHolders)
+	is.True(len(x.recent) <= maxRecent)
+}
