--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -252,6 +252,9 @@
 		q.entry.End()
 		a.Took = time.Since(start)
 	}()
+	if q.headWritten {
+		q.rec.Resumed++
+	}
 	source := q.fetchSource(s, chosen.Missing)
 	if source != nil {
 		a.Fetched = source.ID
