--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"cassialatch.dev/gateway/load"
 	"cassialatch.dev/gateway/metrics"
 	"cassialatch.dev/gateway/peers"
+	"cassialatch.dev/gateway/placement"
 	"cassialatch.dev/gateway/reader"
 	"cassialatch.dev/gateway/retry"
 	"cassialatch.dev/gateway/suspect"
@@ -98,7 +99,7 @@
 		metrics:  metrics.New(),
 	}
 	d.peers = peers.NewTable(peers.Self{
-		IP: s.IP, Zone: s.Zone, Capacity: s.Cores, Seeds: hosts(s.Seeds),
+		IP: s.IP, Seeds: hosts(s.Seeds),
 	}, boottime.Now, c)
 	d.scanner = cachescan.New(a.Lister, c, d.warm, d.peers, s.IP, func() { d.exchange.Hurry() }, d.log)
 	d.reader = reader.New(a.Source, c, d.peers, boottime.Now, d.log)
@@ -112,6 +113,7 @@
 		Suspects: d.suspects,
 		Warm:     d.warm,
 		Fleet:    d.peers.FleetSize,
+		Bound:    d.bound,
 		Recorder: d,
 		Settings: ingress.Settings{Zone: s.Zone, KeyLease: s.KeyLease},
 		Draining: d.timeLeft,
@@ -162,6 +164,14 @@
 	d.metrics.Gauge("log_lines_dropped", func() float64 { return float64(d.writer.Dropped()) })
 }
 
+// bound returns the load bound that suits the age of what peers tell.
+func (d *Daemon) bound() placement.Bound {
+	if d.peers.Large() {
+		return placement.ForPromptLarge
+	}
+	return placement.ForPrompt
+}
+
 func (d *Daemon) draining() bool { return d.drainEnd.Load() != nil }
 
 // ready tells whether callers may be sent here.
@@ -170,8 +180,8 @@
 	return ok && age < readyAge && !d.draining() && d.catalog.View().Table != nil
 }
 
-func (d *Daemon) status() peers.Status {
-	return peers.Status{Ready: d.ready(), Leaving: d.draining(), Settled: d.scanner.Settled()}
+func (d *Daemon) status() peers.State {
+	return peers.State{Ready: d.ready(), Leaving: d.draining(), Settled: d.scanner.Settled()}
 }
 
 // Run serves until the context ends, then drains. It returns when the process
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -123,7 +123,7 @@
 	}
 	i, cause := 0, placement.CauseLoad
 	if len(q.call.Parts) > 0 {
-		i, cause = placement.Prompt(candidates, q.call.SharedParts(), placement.ForPrompt)
+		i, cause = placement.Prompt(candidates, q.call.SharedParts(), q.h.Bound())
 	} else {
 		i = placement.Least(candidates, q.h.Settings.Zone)
 	}
--- a/gateway/peers/exchange.go
+++ b/gateway/peers/exchange.go
@@ -31,6 +31,9 @@
 
 const headerBytes = 32
 
+// leastGap is the least time between two rounds.
+const leastGap = 8 * time.Millisecond
+
 func (h header) append(b []byte) []byte {
 	b = binary.LittleEndian.AppendUint64(b, h.incarnation)
 	b = binary.LittleEndian.AppendUint64(b, uint64(h.stamp))
@@ -50,13 +53,6 @@
 	}, true
 }
 
-// Status is what the daemon says of itself.
-type Status struct {
-	Ready   bool
-	Leaving bool
-	Settled bool
-}
-
 // Fetcher gets a newer state from a peer.
 type Fetcher interface {
 	Fetch(ctx context.Context, ip string, revision int64)
@@ -71,16 +67,15 @@
 	suspects *suspect.Table
 	warm     *warm.Index
 	fetcher  Fetcher
-	status   func() Status
+	status   func() State
 
 	incarnation uint64
 	port        int
-	round       int
 	urgent      chan struct{}
 }
 
 // Listen opens the socket at the address. All daemons use the same port.
-func Listen(addr *net.UDPAddr, t *Table, loads *load.Table, s *suspect.Table, w *warm.Index, f Fetcher, status func() Status) (*Exchange, error) {
+func Listen(addr *net.UDPAddr, t *Table, loads *load.Table, s *suspect.Table, w *warm.Index, f Fetcher, status func() State) (*Exchange, error) {
 	conn, err := net.ListenUDP("udp4", addr)
 	if err != nil {
 		return nil, err
@@ -118,7 +113,7 @@
 		e.send()
 		e.loads.Expire()
 		timer.Reset(e.table.Interval())
-		time.Sleep(e.table.gap())
+		time.Sleep(leastGap)
 	}
 }
 
@@ -130,45 +125,47 @@
 	}
 }
 
+// send starts a round.
 func (e *Exchange) send() {
-	body, err := cbor.Marshal(e.message())
+	m := e.message()
+	m.Reply = e.table.Large()
+	body := encode(m)
+	for _, to := range e.table.targets() {
+		e.write(to, body)
+	}
+}
+
+func encode(m *Message) []byte {
+	body, err := cbor.Marshal(m)
 	if err != nil {
 		panic("peers: a message has no encoding: " + err.Error()) // its fields all have one
 	}
-	buf := make([]byte, 0, headerBytes+len(body))
-	for _, to := range e.table.targets() {
-		h := header{incarnation: e.incarnation, stamp: e.table.clock(), echoOf: to.incarnation, echo: to.stamp}
-		buf = append(h.append(buf[:0]), body...)
-		addr := &net.UDPAddr{IP: net.ParseIP(to.ip), Port: e.port}
-		// A datagram may be lost anyway; a peer that misses several notices.
-		_, _ = e.conn.WriteToUDP(buf, addr)
-	}
+	return body
+}
+
+func (e *Exchange) write(to target, body []byte) {
+	h := header{incarnation: e.incarnation, stamp: e.table.clock(), echoOf: to.incarnation, echo: to.stamp}
+	datagram := append(h.append(make([]byte, 0, headerBytes+len(body))), body...)
+	// A datagram may be lost anyway; a peer that misses several notices.
+	_, _ = e.conn.WriteToUDP(datagram, &net.UDPAddr{IP: net.ParseIP(to.ip), Port: e.port})
 }
 
 func (e *Exchange) message() *Message {
 	view := e.catalog.View()
-	status := e.status()
 	m := &Message{
-		Zone:     e.table.self.Zone,
-		Capacity: float32(e.table.self.Capacity),
-		Ready:    status.Ready,
-		Leaving:  status.Leaving,
-		Settled:  status.Settled,
+		State:    e.status(),
 		Revision: view.Revision,
 		Hash:     view.Hash,
 		AgeMS:    -1,
-		Alive:    e.table.names(e.round),
 		InFlight: e.ownWork(),
 		Broken:   e.suspects.Own(),
 		Warm:     e.warm.Tell(e.table.peerIsNew()),
+		Others:   e.table.others(),
 	}
-	e.table.mu.Lock()
-	m.Reading = e.table.reading
-	e.table.mu.Unlock()
+	m.State.Reading = e.table.canRead()
 	if age, ok := e.catalog.Age(); ok {
 		m.AgeMS = age.Milliseconds() + 1
 	}
-	e.round += maxNamed
 	return m
 }
 
@@ -197,9 +194,18 @@
 	}
 	e.table.heardFrom(ip, h, &m)
 	e.loads.SetPeer(ip, peerWork(m.InFlight))
+	for i := range m.Others {
+		o := &m.Others[i]
+		if e.table.heardOf(o) && m.Reply {
+			e.loads.SetPeer(o.IP, peerWork(o.InFlight))
+		}
+	}
 	e.suspects.Told(ip, m.Broken)
-	e.warm.Told(m.Warm)
+	e.warm.Told(m.Warm, e.table.Large())
 	e.learn(ctx, ip, h, &m)
+	if m.Reply {
+		e.write(e.table.target(ip), encode(e.message()))
+	}
 }
 
 // learn takes over a confirmation, or fetches a state that is newer.
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -2,12 +2,15 @@
 // lives, who is leaving, how far each knows what the platform publishes, how
 // many requests each has in flight, and which requests crash servers.
 //
-// Daemons find each other from seed addresses; each datagram names the daemons
-// that its sender hears.
+// Daemons find each other from seed addresses. In a small fleet each sends to
+// all others. In a larger one each sends to a few at random, which answer, and
+// messages pass on what their sender has heard of others, with its age; so what
+// a daemon sends does not grow with the fleet.
 package peers
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -26,34 +29,51 @@
 	forgetAfter = 20 * time.Second
 	// fleetMemory is how long the largest number of daemons is remembered.
 	fleetMemory = 30 * time.Second
-	// maxNamed bounds the daemons that one datagram names.
-	maxNamed = 24
+	// smallFleet is the number of peers up to which each is sent to directly.
+	smallFleet = 12
+	// fanout is the number of peers that a daemon of a larger fleet sends to at
+	// a time.
+	fanout = 3
+	// maxOthers bounds the third daemons that one datagram tells of.
+	maxOthers = 12
 )
 
 // Self describes this daemon.
 type Self struct {
-	IP       string
-	Zone     string
-	Seeds    []string // IP addresses
-	Capacity float64  // cores
+	IP    string
+	Seeds []string // IP addresses
 }
 
 // Message is what daemons tell each other, encoded as an array.
 type Message struct {
 	_        struct{} `cbor:",toarray"`
-	Zone     string
-	Capacity float32 // cores
-	Ready    bool
-	Leaving  bool
-	Settled  bool // knows what caches hold
-	Reading  bool // its last poll of the store succeeded
+	Reply    bool     // asks for a message in return
+	State    State
 	Revision int64
 	Hash     uint64
 	AgeMS    int64 // of its last confirmation, -1: none
-	Alive    []string
 	InFlight []Work
 	Broken   []suspect.Count
 	Warm     []warm.Entry
+	Others   []Other // some of the daemons that the sender knows to live
+}
+
+// State is what a daemon says of itself.
+type State struct {
+	_       struct{} `cbor:",toarray"`
+	Ready   bool
+	Leaving bool
+	Settled bool // knows what caches hold
+	Reading bool // its last poll of the store succeeded
+}
+
+// Other is what the sender has heard of a third daemon.
+type Other struct {
+	_        struct{} `cbor:",toarray"`
+	IP       string
+	AgeMS    int64 // since the daemon said so
+	State    State
+	InFlight []Work
 }
 
 // Work is what the sender has in flight at a server.
@@ -66,14 +86,10 @@
 
 // Peer is another daemon.
 type Peer struct {
-	IP       string
-	Zone     string
-	Capacity float32 // cores
-	Ready    bool
-	Leaving  bool
-	Reading  bool
-	Settled  bool
+	IP string
+	State
 
+	work        []Work // that it has in flight
 	incarnation uint64
 	heard       boottime.Instant // 0: never
 	named       boottime.Instant // last named by another daemon
@@ -125,35 +141,32 @@
 	return p
 }
 
-// Interval returns the time between two datagrams to the same daemon. It grows
-// with the fleet, so that each daemon sends about as many a second.
+// Interval returns the time between two rounds of datagrams.
 func (t *Table) Interval() time.Duration {
-	const (
-		perDatagram = 7 * time.Millisecond
-		least       = 100 * time.Millisecond
-		most        = 700 * time.Millisecond
-	)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return min(max(least, time.Duration(len(t.peers))*perDatagram), most)
+	const small, large = 100 * time.Millisecond, 250 * time.Millisecond
+	if t.Large() {
+		return large
+	}
+	return small
 }
 
-// gap returns the least time between two datagrams to the same daemon.
-func (t *Table) gap() time.Duration {
-	const perDatagram = time.Millisecond
+// Large tells whether the fleet is too large for each to send to all.
+func (t *Table) Large() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return time.Duration(len(t.peers)) * perDatagram
+	return t.large()
 }
 
+// large needs t.mu.
+func (t *Table) large() bool { return len(t.peers) > smallFleet }
+
 // silence is the time after which a daemon counts as gone. t.mu is held.
 func (t *Table) silence() time.Duration {
-	const (
-		least      = 700 * time.Millisecond
-		perPeer    = 20 * time.Millisecond
-		mostMissed = 2000 * time.Millisecond
-	)
-	return min(max(least, time.Duration(len(t.peers))*perPeer), mostMissed)
+	const small, large = 700 * time.Millisecond, 2500 * time.Millisecond
+	if t.large() {
+		return large
+	}
+	return small
 }
 
 // Alive returns the daemons that are heard, without this one.
@@ -201,6 +214,12 @@
 	t.reading = ok
 }
 
+func (t *Table) canRead() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reading
+}
+
 // Rank returns this daemon's place among those that are heard and can read the
 // store. The order mixes availability zones.
 func (t *Table) Rank() int {
@@ -221,7 +240,7 @@
 
 func rankKey(ip string) uint64 { return xxhash.Sum64String(ip) }
 
-// targets returns the daemons to send to and forgets those long silent.
+// targets returns the daemons to send to now and forgets those long silent.
 func (t *Table) targets() []target {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -234,7 +253,22 @@
 		}
 		list = append(list, target{ip: ip, incarnation: p.incarnation, stamp: p.lastStamp})
 	}
-	return list
+	if !t.large() {
+		return list
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:fanout]
+}
+
+// target returns what a datagram to a daemon echoes.
+func (t *Table) target(ip string) target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	to := target{ip: ip}
+	if p, ok := t.peers[ip]; ok {
+		to.incarnation, to.stamp = p.incarnation, p.lastStamp
+	}
+	return to
 }
 
 type target struct {
@@ -256,22 +290,42 @@
 	}
 	p.incarnation, p.lastStamp = h.incarnation, h.stamp
 	p.heard = t.clock()
-	p.Zone, p.Capacity = m.Zone, m.Capacity
-	p.Ready, p.Leaving, p.Reading = m.Ready, m.Leaving, m.Reading
-	p.Settled = m.Settled
-	for _, other := range m.Alive {
-		t.add(other)
+	p.State, p.work = m.State, m.InFlight
+}
+
+// heardOf notes what a peer passes on about a third daemon. It returns whether
+// that is news.
+func (t *Table) heardOf(o *Other) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if o.AgeMS < 0 {
+		return false
 	}
+	p := t.add(o.IP)
+	at := t.clock().Add(-time.Duration(o.AgeMS) * time.Millisecond)
+	if p == nil || at <= p.heard {
+		return false
+	}
+	p.heard = at
+	p.State, p.work = o.State, o.InFlight
+	return true
 }
 
-// names returns some of the daemons that are heard, to be told to others.
-func (t *Table) names(offset int) []string {
+// others returns some of the daemons that live, to be told of. Daemons that all
+// peers hear by themselves are only named.
+func (t *Table) others() []Other {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	alive := t.alive()
-	names := make([]string, 0, min(len(alive), maxNamed))
-	for i := range min(len(alive), maxNamed) {
-		names = append(names, alive[(offset+i)%len(alive)].IP)
+	rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	alive = alive[:min(len(alive), maxOthers)]
+	now := t.clock()
+	list := make([]Other, len(alive))
+	for i, p := range alive {
+		list[i] = Other{IP: p.IP, AgeMS: now.Sub(p.heard).Milliseconds() + 1, State: p.State}
+		if t.large() {
+			list[i].InFlight = p.work
+		}
 	}
-	return names
+	return list
 }
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -38,7 +38,7 @@
 		suspects:    suspect.New(time.Now),
 		warm:        warm.New(time.Now),
 		fetcher:     f,
-		status:      func() Status { return Status{Ready: true} },
+		status:      func() State { return State{Ready: true} },
 		incarnation: 77,
 	}, f
 }
@@ -109,7 +109,7 @@
 }
 
 func FuzzDatagrams(f *testing.F) {
-	body, err := cbor.Marshal(&Message{Zone: "z", Alive: []string{"10.0.0.3"}})
+	body, err := cbor.Marshal(&Message{Others: []Other{{IP: "10.0.0.3", AgeMS: 5}}})
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -129,7 +129,7 @@
 	for i := range tables {
 		tables[i] = NewTable(Self{IP: ip(i)}, ck.read, catalog.New(ck.read))
 		for j := range daemons {
-			tables[i].heardFrom(ip(j), header{stamp: 1}, &Message{Ready: true, Reading: true})
+			tables[i].heardFrom(ip(j), header{stamp: 1}, &Message{State: State{Ready: true, Reading: true}})
 		}
 	}
 	seen := make(map[int]string)
@@ -144,7 +144,7 @@
 	// The first loses the store: the next ones move up.
 	for i, table := range tables {
 		if i != first {
-			table.heardFrom(ip(first), header{stamp: 2}, &Message{Ready: true})
+			table.heardFrom(ip(first), header{stamp: 2}, &Message{State: State{Ready: true}})
 		}
 	}
 	zeros := 0
@@ -184,7 +184,7 @@
 	open := func(ip, seed string) *Exchange {
 		table := NewTable(Self{IP: ip, Seeds: []string{seed}}, boottime.Now, catalog.New(boottime.Now))
 		e, err := Listen(&net.UDPAddr{IP: net.ParseIP(ip), Port: port}, table, load.New(time.Now),
-			suspect.New(time.Now), warm.New(time.Now), &fetches{}, func() Status { return Status{Ready: true} })
+			suspect.New(time.Now), warm.New(time.Now), &fetches{}, func() State { return State{Ready: true} })
 		is.NoErr(err)
 		go e.Run(ctx)
 		return e
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -53,6 +53,10 @@
 // multiple of the mean that operators allow.
 var ForPrompt = Bound{Factor: 1.9, Slack: 2.5}
 
+// ForPromptLarge is the same in a large fleet of daemons, where the load that
+// is known is older.
+var ForPromptLarge = Bound{Factor: 1.5, Slack: 1.5}
+
 // limit returns the bound on the load that a request may meet.
 func (b Bound) limit(mean float64) float64 { return b.Factor*mean + b.Slack }
 
@@ -96,7 +100,7 @@
 	mean, usage := means(candidates)
 	limit := b.limit(mean)
 	known := anyWarm(candidates, limit)
-	ranks := rendezvous(candidates, shared[0].ID)
+	ranks := rendezvous(candidates, groupKey(shared, len(candidates)))
 	best, bestCost := -1, math.Inf(1)
 	for i := range candidates {
 		c := &candidates[i]
@@ -146,6 +150,25 @@
 	return false
 }
 
+const (
+	// longPart is the size, in tokens, from which a part is placed by itself
+	// where there are many servers: a group of such parts fills the caches of
+	// several, and the order of the group would not tell which one has it.
+	longPart = 3000
+	// manyServers is the number of servers from which that matters.
+	manyServers = 30
+)
+
+// groupKey returns the part whose rendezvous order a new prompt follows. Prompts
+// that begin alike go together, so that few servers compute what they share.
+func groupKey(shared []call.Part, servers int) uint64 {
+	last := shared[len(shared)-1]
+	if servers >= manyServers && last.Tokens >= longPart {
+		return last.ID
+	}
+	return shared[0].ID
+}
+
 // rendezvous returns each candidate's place in the rendezvous order of a key.
 func rendezvous(candidates []Candidate, key uint64) []int {
 	weights := make([]uint64, len(candidates))
--- a/gateway/reader/reader.go
+++ b/gateway/reader/reader.go
@@ -37,6 +37,8 @@
 type Ranker interface {
 	Rank() int
 	SetReading(ok bool)
+	// Large tells whether news take several rounds to reach all daemons.
+	Large() bool
 	// Majority tells whether most of the daemons known of late are heard.
 	Majority() bool
 }
@@ -59,7 +61,9 @@
 	standbyAge   = 900 * time.Millisecond
 	rankStep     = 60 * time.Millisecond
 	maxRankDelay = 500 * time.Millisecond
-	pollTimeout  = 800 * time.Millisecond
+	// spreadTime is how long news take to reach all daemons of a large fleet.
+	spreadTime  = 700 * time.Millisecond
+	pollTimeout = 800 * time.Millisecond
 	// outageAfter is how long polls fail before deletions found afterwards may
 	// be entries that only expired during the outage.
 	outageAfter = 700 * time.Millisecond
@@ -111,15 +115,19 @@
 	if !known {
 		return sincePoll >= 2*tick
 	}
-	return sincePoll >= pollInterval && age >= maxAge(r.ranks.Rank())
+	return sincePoll >= pollInterval && age >= maxAge(r.ranks.Rank(), r.ranks.Large())
 }
 
 // maxAge returns the age of what is known from which a rank reads.
-func maxAge(rank int) time.Duration {
+func maxAge(rank int, largeFleet bool) time.Duration {
 	if rank < regularReaders {
 		return pollInterval - tick
 	}
-	return standbyAge + min(time.Duration(rank-regularReaders)*rankStep, maxRankDelay)
+	age := standbyAge + min(time.Duration(rank-regularReaders)*rankStep, maxRankDelay)
+	if largeFleet {
+		age += spreadTime
+	}
+	return age
 }
 
 func (r *Reader) poll(ctx context.Context) {
--- a/gateway/reader/reader_test.go
+++ b/gateway/reader/reader_test.go
@@ -36,6 +36,7 @@
 
 func (r *ranks) Rank() int          { return r.rank }
 func (r *ranks) SetReading(ok bool) { r.reading = ok }
+func (r *ranks) Large() bool        { return false }
 func (r *ranks) Majority() bool     { return r.majority }
 
 type quiet struct{ rejected int }
@@ -82,7 +83,7 @@
 	is.True(f.due(pollInterval))
 	f.ranks.rank = 5
 	is.True(!f.due(pollInterval)) // told by others until now
-	f.now = f.now.Add(maxAge(5))
+	f.now = f.now.Add(maxAge(5, false))
 	is.True(f.due(pollInterval)) // nobody tells
 }
 
@@ -91,7 +92,7 @@
 func TestStandbyEndsWellBeforeTheBoundOfConfigurations(t *testing.T) {
 	is := is.New(t)
 	const configBound = 2 * time.Second
-	is.True(maxAge(300)+pollTimeout/4 < configBound)
+	is.True(maxAge(300, false)+pollTimeout/4 < configBound)
 }
 
 // Load pattern: the store is down for all and entries expire meanwhile. Servers
--- a/gateway/warm/warm.go
+++ b/gateway/warm/warm.go
@@ -19,10 +19,12 @@
 	// pendingTTL is how long a server may take to compute a part.
 	pendingTTL  = 3 * time.Second
 	usageDecay  = 8 * time.Second
-	maxRecent   = 64  // own placements that wait to be told
+	maxRecent   = 400 // own placements that wait to be told
 	maxListed   = 300 // listed entries told with each message
 	refreshSize = 6   // older parts told with each message
-	newPeerSize = 48  // the same, while a peer is new
+	// refreshParts is how many parts add one to the older parts told.
+	refreshParts = 64
+	newPeerSize  = 48 // the same, while a peer is new
 )
 
 // Holder names an incarnation of a server in short.
@@ -128,8 +130,8 @@
 	}
 }
 
-// Told takes over entries of a peer.
-func (x *Index) Told(entries []Entry) {
+// Told takes over entries of a peer. What is news is told on if relay is set.
+func (x *Index) Told(entries []Entry, relay bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := x.now()
@@ -139,7 +141,10 @@
 		}
 		age := time.Duration(e.AgeMS) * time.Millisecond
 		if age < ttl {
-			x.note(e.Part, e.Holder, now.Add(-age), e.AgeMS > 0)
+			news := x.note(e.Part, e.Holder, now.Add(-age), e.AgeMS > 0)
+			if news && relay && len(x.recent) < maxRecent {
+				x.recent = append(x.recent, e)
+			}
 		}
 	}
 }
@@ -168,25 +173,27 @@
 	}
 }
 
-// note remembers a holder. x.mu is held.
-func (x *Index) note(p PartKey, h Holder, used time.Time, ready bool) {
+// note remembers a holder. It returns whether the holder, or that it is ready,
+// is news. x.mu is held.
+func (x *Index) note(p PartKey, h Holder, used time.Time, ready bool) bool {
 	list, known := x.parts[p]
 	if held := find(list, h); held != nil {
 		if used.After(held.used) {
 			held.used = used
 		}
+		news := ready && !held.ready
 		held.ready = held.ready || ready
-		return
+		return news
 	}
 	if !known {
 		if len(x.order) >= maxParts {
-			return
+			return false
 		}
 		x.order = append(x.order, p)
 	}
 	if len(list) < maxHolders {
 		x.parts[p] = append(list, holding{holder: h, used: used, ready: ready})
-		return
+		return true
 	}
 	oldest := 0
 	for i := range list {
@@ -194,9 +201,11 @@
 			oldest = i
 		}
 	}
-	if used.After(list[oldest].used) {
-		list[oldest] = holding{holder: h, used: used, ready: ready}
+	if !used.After(list[oldest].used) {
+		return false
 	}
+	list[oldest] = holding{holder: h, used: used, ready: ready}
+	return true
 }
 
 // Lookup sets, for each holder, how much of the parts it has. A part is of use
@@ -240,7 +249,7 @@
 	n := min(len(x.listed), maxListed)
 	entries = append(entries, x.listed[:n]...)
 	x.listed = x.listed[n:]
-	refresh := refreshSize
+	refresh := refreshSize + len(x.order)/refreshParts
 	if newPeer {
 		refresh = newPeerSize
 	}
--- a/gateway/warm/warm_test.go
+++ b/gateway/warm/warm_test.go
@@ -46,10 +46,10 @@
 	is := is.New(t)
 	a, b := New(time.Now), New(time.Now)
 	a.Placed(shared, 7)
-	b.Told(a.Tell(false))
+	b.Told(a.Tell(false), false)
 	is.Equal(lookup(b, 7)[0], Have{Missing: 0, Ready: false})
 	a.Computed(shared, 7)
-	b.Told(a.Tell(false))
+	b.Told(a.Tell(false), false)
 	is.Equal(lookup(b, 7)[0], Have{Missing: 0, Ready: true})
 }
 
@@ -63,7 +63,7 @@
 		a.Listed([]call.Part{{ID: 100 + i, Tokens: 10}}, 7)
 	}
 	for range parts/newPeerSize + 1 {
-		b.Told(a.Tell(true))
+		b.Told(a.Tell(true), false)
 	}
 	is.Equal(len(b.parts), parts)
 }
@@ -76,8 +76,8 @@
 	a.Computed(shared, 7)
 	for range 10 { // two daemons tell each other in turn
 		now = now.Add(ttl / 5)
-		b.Told(a.Tell(true))
-		a.Told(b.Tell(true))
+		b.Told(a.Tell(true), false)
+		a.Told(b.Tell(true), false)
 	}
 	all := func(Holder) bool { return true }
 	a.Expire(all)
