--- a/gateway/warm/warm.go
+++ b/gateway/warm/warm.go
@@ -208,24 +208,24 @@
 	return true
 }
 
-// Lookup sets, for each holder, how much of the parts it has. A part is of use
-// only if all parts before it are there too.
+// Lookup sets, for each holder, how much of the parts it has. A server that has
+// a part has all parts before it too, since it uses them whenever it uses the
+// part; not all holders of a part that is shared widely are remembered.
 func (x *Index) Lookup(shared []call.Part, holders []Holder, have []Have) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	total := 0
-	for _, p := range shared {
-		total += p.Tokens
+	for i := range have {
+		have[i] = Have{Ready: true}
 	}
-	for i, h := range holders {
-		have[i] = Have{Missing: total, Ready: true}
-		for _, p := range shared {
-			held := find(x.parts[KeyOf(p)], h)
+	for _, p := range shared {
+		list := x.parts[KeyOf(p)]
+		for i, h := range holders {
+			held := find(list, h)
 			if held == nil {
-				break
+				have[i].Missing += p.Tokens
+				continue
 			}
-			have[i].Missing -= p.Tokens
-			have[i].Ready = have[i].Ready && held.ready
+			have[i] = Have{Missing: 0, Ready: held.ready}
 		}
 	}
 }
