--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -323,6 +323,7 @@
 	q.ran = true
 	a.Reason = ReasonBroken
 	if ctx.Err() != nil {
+		a.Reason = interruption(ctx)
 		return false
 	}
 	// A server that has crashed refuses the next connection and then rests.
@@ -386,9 +387,17 @@
 	w.WriteHeader(status)
 }
 
+// interruption tells why a request's context has ended.
+func interruption(ctx context.Context) Reason {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return ReasonDeadline
+	}
+	return ReasonCallerLeft
+}
+
 // interrupted ends a request whose caller has left or whose time is over.
 func (q *query) interrupted(ctx context.Context, w http.ResponseWriter) {
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+	if interruption(ctx) == ReasonDeadline {
 		q.giveUp(w, ReasonDeadline, 0)
 		return
 	}
