tests/soak: randomized fault soak of real gateways; standin: a backend server of the users' platform

Signals are now caught before anything else. The soak restarts processes that end by themselves, as the platform does.

--- a/cassialatchgw/main.go
+++ b/cassialatchgw/main.go
@@ -17,14 +17,20 @@
 
 func main() {
 	metrics := flag.String("metrics", "", "port of the metrics; none if empty")
+	// Signals are caught first of all: one that comes while the process starts
+	// must not end it.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	flag.Parse()
-	if err := run(*metrics); err != nil {
+	if err := run(ctx, hup, *metrics); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-func run(metricsPort string) error {
+func run(ctx context.Context, hup <-chan os.Signal, metricsPort string) error {
 	s, err := platform.ReadSettings()
 	if err != nil {
 		return err
@@ -40,9 +46,7 @@
 		Readiness: platform.Readiness,
 		Reload:    reload,
 	})
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	go reloadOnSignal(d)
+	go reloadOnSignal(d, hup)
 	return d.Run(ctx)
 }
 
@@ -51,9 +55,7 @@
 	return s.Settings, err
 }
 
-func reloadOnSignal(d *daemon.Daemon) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
+func reloadOnSignal(d *daemon.Daemon, hup <-chan os.Signal) {
 	for range hup {
 		d.Reload()
 	}
--- /dev/null
+++ b/tests/soak/fleet_test.go
@@ -0,0 +1,322 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"cassialatch.dev/standin/metastore"
+	"cassialatch.dev/standin/runner"
+)
+
+const (
+	frontPort = 21227 + iota
+	readyPort
+	controlPort
+	directoryPort
+	exchangePort
+)
+
+const (
+	revokeBound = 5 * time.Second
+	grace       = 4 * time.Second
+)
+
+// daemon is one real process.
+type daemon struct {
+	t        *testing.T
+	ip       string
+	settings string
+	log      string
+	store    *proxy // its way to the store
+
+	done   chan struct{} // closed when the process runs no more
+	mu     sync.Mutex
+	cmd    *exec.Cmd // nil: between two lives
+	closed bool
+}
+
+// fleet is the daemons of one seed with the stand-ins around them.
+type fleet struct {
+	t       *testing.T
+	store   *metastore.Store
+	ledger  *runner.Ledger
+	daemons []*daemon
+	servers []*server
+
+	mu      sync.Mutex
+	version int64
+	keys    []string // in force
+	timeout int
+}
+
+// server is one backend server, whose incarnation changes when it restarts.
+type server struct {
+	f       *fleet
+	service string
+	proxy   *proxy
+
+	mu      sync.Mutex
+	life    int
+	http    *httptest.Server
+	handler *runner.Runner
+}
+
+// newFleet starts daemons at addresses that no other seed uses.
+func newFleet(t *testing.T, binary string, slot, daemons int) *fleet {
+	f := &fleet{t: t, store: metastore.New(), ledger: runner.NewLedger(), timeout: 3000,
+		keys: []string{"key-0", "key-1", "key-2", "key-3"}}
+	store := httptest.NewServer(f.store)
+	t.Cleanup(func() {
+		f.store.SetMode(metastore.Up)
+		store.CloseClientConnections()
+		store.Close()
+	})
+	for i := range 4 {
+		f.servers = append(f.servers, newServer(f, []string{"models", "plain"}[i%2]))
+	}
+	f.publish()
+	dir := artifacts(t)
+	for i := range daemons {
+		ip := fmt.Sprintf("127.%d.%d.%d", 10+slot/200, slot%200, 10+i)
+		f.daemons = append(f.daemons, newDaemon(t, dir, ip, i, newProxy(t, strings.TrimPrefix(store.URL, "http://")), slot))
+	}
+	for _, d := range f.daemons {
+		go d.supervise(binary)
+	}
+	return f
+}
+
+// artifacts returns the folder of the logs. It stays if the test fails.
+func artifacts(t *testing.T) string {
+	dir, err := os.MkdirTemp("", "soak-")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("logs are in %s", dir)
+			return
+		}
+		os.RemoveAll(dir)
+	})
+	return dir
+}
+
+func newDaemon(t *testing.T, dir, ip string, i int, store *proxy, slot int) *daemon {
+	at := func(port int) string { return net.JoinHostPort(ip, fmt.Sprint(port)) }
+	seed := fmt.Sprintf("127.%d.%d.10:%d", 10+slot/200, slot%200, controlPort)
+	raw, err := json.Marshal(map[string]any{
+		"nodeName": fmt.Sprint("edge-", i), "ip": ip, "zone": "a",
+		"listen": map[string]string{"frontend": at(frontPort), "readiness": at(readyPort),
+			"control": at(controlPort), "directory": at(directoryPort)},
+		"portRange": []int{exchangePort, exchangePort + 15},
+		"seeds":     []string{seed},
+		"limits":    map[string]any{"cpuShare": 0.4, "cores": 1, "memoryMb": 284},
+		"bounds": map[string]any{"graceS": grace.Seconds(), "failClosed": true, "revokeMs": revokeBound.Milliseconds(),
+			"retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 58},
+		"platform": map[string]string{"address": store.address()},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &daemon{t: t, ip: ip, store: store, done: make(chan struct{}),
+		settings: filepath.Join(dir, fmt.Sprintf("settings-%d", i)), log: filepath.Join(dir, fmt.Sprintf("log-%d", i))}
+	if err := os.WriteFile(d.settings, raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.close)
+	return d
+}
+
+// restartDelay is the time until a process that has ended is started again.
+const restartDelay = 200 * time.Millisecond
+
+// supervise runs the process and starts it again whenever it has ended, as the
+// platform does, until close.
+func (d *daemon) supervise(binary string) {
+	for d.run(binary) {
+		time.Sleep(restartDelay)
+	}
+	close(d.done)
+}
+
+// run runs the process to its end. It returns false after close.
+func (d *daemon) run(binary string) bool {
+	cmd, ok := d.start(binary)
+	if !ok {
+		return false
+	}
+	// The exit status tells nothing that the log doesn't.
+	_ = cmd.Wait()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cmd = nil
+	return !d.closed
+}
+
+func (d *daemon) start(binary string) (*exec.Cmd, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return nil, false
+	}
+	out, err := os.OpenFile(d.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		d.t.Error(err)
+		return nil, false
+	}
+	defer out.Close()
+	cmd := exec.Command(binary)
+	cmd.Env = append(os.Environ(), "CASSIALATCH_NODE_FILE="+d.settings)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		d.t.Error(err)
+		return nil, false
+	}
+	d.cmd = cmd
+	return cmd, true
+}
+
+// signal sends a signal to the process, if it runs.
+func (d *daemon) signal(s syscall.Signal) *exec.Cmd {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cmd != nil {
+		// The process may just have ended by itself.
+		_ = d.cmd.Process.Signal(s)
+	}
+	return d.cmd
+}
+
+// stop ends the process as the platform does: by SIGTERM, and by SIGKILL if it
+// still runs after the grace.
+func (d *daemon) stop() {
+	ending := d.signal(syscall.SIGTERM)
+	time.Sleep(grace)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cmd != nil && d.cmd == ending {
+		_ = d.cmd.Process.Kill() // see signal
+	}
+}
+
+// close ends the process for good.
+func (d *daemon) close() {
+	d.mu.Lock()
+	d.closed = true
+	d.mu.Unlock()
+	d.signal(syscall.SIGKILL)
+	<-d.done
+}
+
+func newServer(f *fleet, service string) *server {
+	s := &server{f: f, service: service}
+	s.restart()
+	f.t.Cleanup(s.crash)
+	return s
+}
+
+// crash ends the server without notice. Its entry stays until it lapses.
+func (s *server) crash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.http != nil {
+		s.http.CloseClientConnections()
+		s.http.Close()
+		s.http = nil
+	}
+}
+
+// restart starts a new incarnation at a new address and registers it.
+func (s *server) restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.handler != nil {
+		s.f.store.Delete("servers/" + s.handler.ID)
+	}
+	s.life++
+	s.handler = &runner.Runner{ID: fmt.Sprintf("i-%p-%d", s, s.life), Ledger: s.f.ledger}
+	s.http = httptest.NewServer(s.handler)
+	s.proxy = newProxy(s.f.t, strings.TrimPrefix(s.http.URL, "http://"))
+	s.register()
+}
+
+func (s *server) register() {
+	entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","slots":16,"state":"ready","born":%d,"sequence":1}`,
+		s.service, s.proxy.address(), s.life)
+	s.f.store.Put("servers/"+s.handler.ID, []byte(entry))
+}
+
+// link returns the proxy before the server.
+func (s *server) link() *proxy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.proxy
+}
+
+// publish writes the next version of the configuration.
+func (f *fleet) publish() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version += 3
+	keys, err := json.Marshal(f.keys)
+	if err != nil {
+		f.t.Error(err)
+		return
+	}
+	route := func(name, kind, service string, attempts int) string {
+		return fmt.Sprintf(`{"name":%q,"host":"soak.example","pathPrefix":"/%s/","type":%q,"timeoutMs":%d,"service":%q,"maxAttempts":%d,"resumable":%t}`,
+			name, name, kind, f.timeout, service, attempts, kind == "streaming")
+	}
+	doc := fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s],"services":[{"name":"models","maxConns":200},{"name":"plain","maxConns":200}],
+		"limits":{"maxBodyBytes":65536,"idleTimeoutMs":15000},"tenants":[{"name":"w","apiKeys":%s}]}`, f.version,
+		route("safe", "safe", "plain", 2), route("unsafe", "unsafe", "plain", 2), route("stream", "streaming", "models", 3), keys)
+	f.store.Put("op/config", []byte(doc))
+}
+
+// revoke takes a key away and returns it with the time of the acknowledgement.
+func (f *fleet) revoke() (string, time.Time) {
+	f.mu.Lock()
+	if len(f.keys) < 2 {
+		f.mu.Unlock()
+		return "", time.Time{}
+	}
+	key := f.keys[0]
+	f.keys = f.keys[1:]
+	f.mu.Unlock()
+	f.publish()
+	return key, time.Now()
+}
+
+// awaitReady waits until all daemons are ready.
+func (f *fleet) awaitReady(limit time.Duration) bool {
+	client := &http.Client{Timeout: time.Second}
+	end := time.Now().Add(limit)
+	for _, d := range f.daemons {
+		for {
+			resp, err := client.Get(fmt.Sprintf("http://%s:%d/readyz", d.ip, readyPort))
+			if err == nil {
+				resp.Body.Close()
+				if resp.StatusCode == http.StatusOK {
+					break
+				}
+			}
+			if time.Now().After(end) {
+				return false
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return true
+}
