--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 SHELL   := /bin/bash
 
-.PHONY: all build fmt-check vet lint test fuzz demo bench policy-bench model model-mutants generate clean
+.PHONY: all build fmt-check vet lint test soak fuzz demo bench policy-bench model model-mutants generate clean
 
 all: build
 
@@ -29,6 +29,11 @@
 	go test -race -count=1 -timeout 5m $$(go list $(PKGS) | grep -vxFf <(go list $(RAPID)))
 	go test -race -count=1 -timeout 5m $(RAPID) -rapid.seed=$(SEED)
 
+# Real gateways under randomized faults. "make test" runs a short one.
+# SOAKFLAGS='-soak.first=0 -soak.seeds=50' plays fifty fresh seeds.
+soak:
+	go test -count=1 -timeout 60m -parallel 4 ./tests/soak -v $(SOAKFLAGS)
+
 # Each fuzz target for FUZZTIME, 10s unless given. "make test" runs their seeds.
 fuzz:
 	scripts/fuzz.sh $(PKGS)
