--- /dev/null
+++ b/gateway/cachescan/cachescan_test.go
@@ -0,0 +1,89 @@
+package cachescan
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cassialatch.dev/gateway/boottime"
+	"cassialatch.dev/gateway/call"
+	"cassialatch.dev/gateway/catalog"
+	"cassialatch.dev/gateway/peers"
+	"cassialatch.dev/gateway/route"
+	"cassialatch.dev/gateway/warm"
+)
+
+type lister struct {
+	mu    sync.Mutex
+	asked map[string]int
+}
+
+func (l *lister) List(_ context.Context, s *catalog.Server) ([]call.Part, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.asked[s.ID]++
+	return []call.Part{{ID: 1, Tokens: 10}, {ID: 2, Tokens: 500}}, nil
+}
+
+type alive []peers.Peer
+
+func (a alive) Alive() []peers.Peer { return a }
+
+type noLog struct{}
+
+func (noLog) CacheListed(string, int, error) {}
+
+func published() *catalog.Catalog {
+	c := catalog.New(boottime.Now)
+	state := catalog.State{Revision: 1}
+	for i := range 6 {
+		state.Servers = append(state.Servers, catalog.Server{ID: fmt.Sprint("m", i), Service: "model"},
+			catalog.Server{ID: fmt.Sprint("p", i), Service: "plain"})
+	}
+	c.Adopt(state, route.NewTable(&route.Config{Version: 1,
+		Services: []route.Service{{Name: "model", CacheSize: 1000}, {Name: "plain"}}}), boottime.Now())
+	return c
+}
+
+// Load pattern: all daemons were killed and callers come back at once. Each
+// server with a cache is asked by one of the daemons that hear each other.
+func TestAfterAMassRestartEachServerIsAskedOnce(t *testing.T) {
+	is := is.New(t)
+	l := &lister{asked: make(map[string]int)}
+	ips := []string{"10.0.0.1", "10.0.0.2", "10.0.0.3"}
+	var wg sync.WaitGroup
+	for i, ip := range ips {
+		var others alive
+		for j, other := range ips {
+			if i != j {
+				others = append(others, peers.Peer{IP: other})
+			}
+		}
+		index := warm.New(time.Now)
+		s := New(l, published(), index, others, ip, func() {}, noLog{})
+		wg.Go(func() {
+			s.Run(context.Background())
+			<-s.Learned()
+		})
+	}
+	wg.Wait()
+	is.Equal(len(l.asked), 6)
+	for id, n := range l.asked {
+		is.Equal(n, 1)
+		is.True(id[0] == 'm')
+	}
+}
+
+func TestADaemonWithAPeerThatKnowsAsksNobody(t *testing.T) {
+	is := is.New(t)
+	l := &lister{asked: make(map[string]int)}
+	knows := alive{{IP: "10.0.0.2", State: peers.State{Settled: true}}}
+	s := New(l, published(), warm.New(time.Now), knows, "10.0.0.1", func() {}, noLog{})
+	s.Run(context.Background())
+	<-s.Learned()
+	is.Equal(len(l.asked), 0)
+}
--- /dev/null
+++ b/gateway/eventlog/eventlog_test.go
@@ -0,0 +1,102 @@
+package eventlog
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cassialatch.dev/gateway/boottime"
+	"cassialatch.dev/gateway/catalog"
+	"cassialatch.dev/gateway/ingress"
+	"cassialatch.dev/gateway/placement"
+)
+
+// output is a destination that can stand still.
+type output struct {
+	gate sync.Mutex
+	mu   sync.Mutex
+	buf  bytes.Buffer
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	o.gate.Lock()
+	defer o.gate.Unlock()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.buf.Write(p)
+}
+
+func (o *output) lines() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return strings.Split(strings.TrimSpace(o.buf.String()), "\n")
+}
+
+// Load pattern: a crest of requests while the reader of the logs stands still.
+// Lines are dropped and counted; nothing waits.
+func TestAStalledOutputBlocksNobody(t *testing.T) {
+	is := is.New(t)
+	out := &output{}
+	out.gate.Lock()
+	w := NewWriter(out)
+	const lines = 4 * queueLines
+	line := []byte(strings.Repeat("x", 300) + "\n")
+	for range lines {
+		n, err := w.Write(line)
+		is.NoErr(err)
+		is.Equal(n, len(line))
+	}
+	is.True(w.Dropped() >= lines/2)
+	is.True(w.Dropped() > 0)
+	out.gate.Unlock()
+	w.Close(10 * time.Second)
+	written := out.lines()
+	is.True(strings.Contains(strings.Join(written, "\n"), "log_lines_dropped"))
+	is.True(len(written) < lines)
+}
+
+// From the id of a failed request its line tells the cause, for the three kinds
+// of failure that the operators' page walks through.
+func TestTheCauseOfAFailureIsFoundByItsID(t *testing.T) {
+	is := is.New(t)
+	out := &output{}
+	w := NewWriter(out)
+	log := New(w, "edge-1", catalog.New(boottime.Now))
+	log.StoreLost(errors.New("no answer"), 900*time.Millisecond)
+	for _, r := range []ingress.Record{
+		{ID: "refused", Outcome: ingress.NotRun, Status: 503, Reason: ingress.ReasonLeaseExpired,
+			Version: 4, Revision: 17, Age: 4963 * time.Millisecond},
+		{ID: "broken", Outcome: ingress.Unknown, Status: 502, Reason: ingress.ReasonBroken, Attempts: []ingress.Attempt{
+			{Server: "i-1", Cause: placement.CauseLoad, InFlight: 3, Reason: ingress.ReasonBroken, Detail: "reset by peer"}}},
+		{ID: "late", Outcome: ingress.Unknown, Status: 504, Reason: ingress.ReasonDeadline, Took: 400 * time.Millisecond,
+			Attempts: []ingress.Attempt{{Server: "i-2", InFlight: 60, Queued: 9000, Reason: ingress.ReasonDeadline}}},
+	} {
+		log.Request(&r)
+	}
+	w.Close(10 * time.Second)
+	byID := make(map[string]map[string]any)
+	for _, line := range out.lines() {
+		var fields map[string]any
+		is.NoErr(json.Unmarshal([]byte(line), &fields))
+		is.Equal(fields["daemon"], "edge-1")
+		if id, ok := fields["id"].(string); ok {
+			byID[id] = fields
+		}
+	}
+	is.Equal(byID["refused"]["reason"], "configuration_not_confirmed")
+	is.Equal(byID["refused"]["confirmed_ms"], 4963.0)
+	is.Equal(byID["refused"]["version"], 4.0)
+	attempt := func(id string) map[string]any { return byID[id]["attempts"].([]any)[0].(map[string]any) }
+	is.Equal(byID["broken"]["outcome"], "unknown")
+	is.Equal(attempt("broken")["server"], "i-1")
+	is.Equal(attempt("broken")["detail"], "reset by peer")
+	is.Equal(attempt("late")["reason"], "deadline")
+	is.Equal(attempt("late")["in_flight"], 60.0)
+	is.Equal(attempt("late")["queued_tokens"], 9000.0)
+}
--- a/gateway/eventlog/log.go
+++ b/gateway/eventlog/log.go
@@ -17,9 +17,10 @@
 	catalog *catalog.Catalog
 }
 
+func init() { zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00" }
+
 // New returns a log that names the daemon on each line.
 func New(w *Writer, daemon string, c *catalog.Catalog) *Log {
-	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
 	z := zerolog.New(w).With().Timestamp().Str("daemon", daemon).Logger()
 	return &Log{z: z, catalog: c}
 }
