--- a/gateway/cachescan/cachescan.go
+++ b/gateway/cachescan/cachescan.go
@@ -1,6 +1,7 @@
 // Package cachescan asks backend servers which parts of prompts their caches
 // hold, where no daemon knows it: after all daemons have restarted. A listing
-// is dear to a server, so one daemon asks each server, once.
+// is dear to a server, so one daemon asks each server, once: one of the seeds,
+// which all daemons know from their start, or another if no seed is heard.
 package cachescan
 
 import (
@@ -19,18 +20,19 @@
 
 const (
 	tick = 25 * time.Millisecond
-	// settle is how long a daemon that has started listens to its peers before
-	// it asks servers.
-	settle = 150 * time.Millisecond
+	// settle is how long a seed that has started listens to its peers before it
+	// asks servers. The others wait until a seed should have asked.
+	settle     = 150 * time.Millisecond
+	settleLate = 400 * time.Millisecond
 	// learnTime is how long after its start a daemon has learned from its peers
 	// or from servers what the caches hold.
 	learnTime   = 2 * time.Second
 	listTimeout = 400 * time.Millisecond
 	// tellTime is how long it takes until peers have told what they learned.
 	tellTime = 120 * time.Millisecond
-	// maxTold bounds the parts of one server that are told. Most of the short
+	// maxTold bounds the parts of all servers that are told. Most of the short
 	// ones belong to one request alone.
-	maxTold = 150
+	maxTold = 4000
 )
 
 // Lister reads what a server's cache holds.
@@ -55,6 +57,8 @@
 	index   *warm.Index
 	peers   Peers
 	self    string // IP address
+	seeds   []string
+	seed    bool   // this daemon is one of the seeds
 	hurry   func() // has peers told soon
 	log     Log
 	started time.Time
@@ -62,8 +66,8 @@
 }
 
 // New returns a scanner that does nothing before Run.
-func New(l Lister, c *catalog.Catalog, x *warm.Index, p Peers, self string, hurry func(), log Log) *Scanner {
-	return &Scanner{lister: l, catalog: c, index: x, peers: p, self: self, hurry: hurry, log: log,
+func New(l Lister, c *catalog.Catalog, x *warm.Index, p Peers, self string, seeds []string, hurry func(), log Log) *Scanner {
+	return &Scanner{lister: l, catalog: c, index: x, peers: p, self: self, seeds: seeds, seed: slices.Contains(seeds, self), hurry: hurry, log: log,
 		started: time.Now(), learned: make(chan struct{})}
 }
 
@@ -82,14 +86,16 @@
 	if !s.await(ctx, func() bool { return s.catalog.View().Table != nil }) {
 		return
 	}
-	if !s.await(ctx, func() bool { return time.Since(s.started) >= settle }) {
-		return
+	wait := settleLate
+	if s.seed {
+		wait = settle
 	}
-	if s.peerKnows() {
-		pause(ctx, tellTime)
+	if !s.await(ctx, func() bool { return time.Since(s.started) >= wait }) {
 		return
 	}
-	s.askAll(ctx)
+	if !s.peerKnows() && (s.seed || !s.hearsSeed()) {
+		s.askAll(ctx)
+	}
 	pause(ctx, tellTime)
 }
 
@@ -120,6 +126,10 @@
 	return slices.ContainsFunc(s.peers.Alive(), func(p peers.Peer) bool { return p.Settled })
 }
 
+func (s *Scanner) hearsSeed() bool {
+	return slices.ContainsFunc(s.peers.Alive(), func(p peers.Peer) bool { return slices.Contains(s.seeds, p.IP) })
+}
+
 // askAll asks the servers that are this daemon's to ask.
 func (s *Scanner) askAll(ctx context.Context) {
 	view := s.catalog.View()
@@ -139,6 +149,9 @@
 func (s *Scanner) owns(server string) bool {
 	mine := xxhash.Sum64String(s.self + server)
 	for _, p := range s.peers.Alive() {
+		if s.seed && !slices.Contains(s.seeds, p.IP) {
+			continue
+		}
 		if xxhash.Sum64String(p.IP+server) > mine {
 			return false
 		}
@@ -153,7 +166,8 @@
 	s.log.CacheListed(server.ID, len(parts), err)
 	// Long parts first: they are shared, and dear to compute.
 	slices.SortFunc(parts, func(a, b call.Part) int { return b.Tokens - a.Tokens })
-	parts = parts[:min(len(parts), maxTold)]
+	share := maxTold / max(len(s.catalog.View().Servers), 1)
+	parts = parts[:min(len(parts), share)]
 	s.index.Listed(parts, warm.Holder(server.Tag()))
 	s.hurry()
 }
--- a/gateway/cachescan/cachescan_test.go
+++ b/gateway/cachescan/cachescan_test.go
@@ -64,7 +64,7 @@
 			}
 		}
 		index := warm.New(time.Now)
-		s := New(l, published(), index, others, ip, func() {}, noLog{})
+		s := New(l, published(), index, others, ip, ips[:2], func() {}, noLog{})
 		wg.Go(func() {
 			s.Run(context.Background())
 			<-s.Learned()
@@ -78,11 +78,20 @@
 	}
 }
 
+func TestWithoutASeedTheOthersAsk(t *testing.T) {
+	is := is.New(t)
+	l := &lister{asked: make(map[string]int)}
+	others := alive{{IP: "10.0.0.2"}, {IP: "10.0.0.3"}}
+	s := New(l, published(), warm.New(time.Now), others, "10.0.0.1", []string{"10.0.0.9"}, func() {}, noLog{})
+	s.Run(context.Background())
+	is.True(len(l.asked) > 0)
+}
+
 func TestADaemonWithAPeerThatKnowsAsksNobody(t *testing.T) {
 	is := is.New(t)
 	l := &lister{asked: make(map[string]int)}
 	knows := alive{{IP: "10.0.0.2", State: peers.State{Settled: true}}}
-	s := New(l, published(), warm.New(time.Now), knows, "10.0.0.1", func() {}, noLog{})
+	s := New(l, published(), warm.New(time.Now), knows, "10.0.0.1", nil, func() {}, noLog{})
 	s.Run(context.Background())
 	<-s.Learned()
 	is.Equal(len(l.asked), 0)
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -101,7 +101,7 @@
 	d.peers = peers.NewTable(peers.Self{
 		IP: s.IP, Seeds: hosts(s.Seeds),
 	}, boottime.Now, c)
-	d.scanner = cachescan.New(a.Lister, c, d.warm, d.peers, s.IP, func() { d.exchange.Hurry() }, d.log)
+	d.scanner = cachescan.New(a.Lister, c, d.warm, d.peers, s.IP, hosts(s.Seeds), func() { d.exchange.Hurry() }, d.log)
 	d.reader = reader.New(a.Source, c, d.peers, boottime.Now, d.log)
 	d.handler = &ingress.Handler{
 		Dialect:  a.Dialect,
@@ -318,7 +318,7 @@
 	shutMargin = 300 * time.Millisecond
 	// endMargin is how long before the platform kills the process its callers'
 	// connections are closed.
-	endMargin = 400 * time.Millisecond
+	endMargin = 700 * time.Millisecond
 	// leastDrain is the shortest drain: callers that keep an old answer go on
 	// coming for this long.
 	leastDrain = 7 * time.Second
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -66,7 +66,7 @@
 
 // maxLearnWait bounds how long a prompt waits at a daemon's start until it is
 // known where its parts are cached.
-const maxLearnWait = 400 * time.Millisecond
+const maxLearnWait = 600 * time.Millisecond
 
 // awaitLearned keeps a prompt from being computed anew because the daemon has
 // just started.
--- a/gateway/peers/fetch.go
+++ b/gateway/peers/fetch.go
@@ -1,11 +1,15 @@
 package peers
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,15 +20,51 @@
 // statePath is where daemons tell each other what is published.
 const statePath = "/v1/state"
 
-// stateReply is a State with the age of its confirmation.
+// stateReply is a State with the age of its confirmation. The configuration
+// document is compressed: it may be larger than a small VM's link carries in
+// the time in which a configuration has to be in force.
 type stateReply struct {
 	catalog.State
-	AgeMS int64 `json:"age_ms"`
+	Packed []byte `json:"packed,omitempty"` // the document, instead of State.Raw
+	AgeMS  int64  `json:"age_ms"`
+}
+
+// packer compresses each version of the document once.
+type packer struct {
+	mu     sync.Mutex
+	rev    int64
+	packed []byte
+}
+
+func (p *packer) pack(s *catalog.State) []byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.rev == s.RawRev {
+		return p.packed
+	}
+	var buf bytes.Buffer
+	// Neither fails: the level is valid and a buffer takes all.
+	w, _ := flate.NewWriter(&buf, flate.BestSpeed)
+	_, _ = w.Write(s.Raw)
+	_ = w.Close()
+	p.rev, p.packed = s.RawRev, buf.Bytes()
+	return p.packed
+}
+
+// unpack puts the document back in its place.
+func (r *stateReply) unpack() error {
+	if len(r.Packed) == 0 {
+		return nil
+	}
+	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(r.Packed)), maxDocument))
+	r.Raw, r.Packed = raw, nil
+	return err
 }
 
 // StateHandler answers peers with the state in force. The configuration
 // document is left out if the peer has it.
 func StateHandler(c *catalog.Catalog) http.Handler {
+	var p packer
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, r *http.Request) {
 		age, ok := c.Age()
@@ -36,6 +76,10 @@
 		if has, err := strconv.ParseInt(r.URL.Query().Get("config"), 10, 64); err == nil && has >= reply.RawRev {
 			reply.Raw = nil
 		}
+		if len(reply.Raw) > 0 {
+			reply.Packed = p.pack(&reply.State)
+			reply.Raw = nil
+		}
 		w.Header().Set("Content-Type", "application/json")
 		// A peer that has gone asks again when it is back.
 		_ = json.NewEncoder(w).Encode(&reply)
@@ -58,7 +102,10 @@
 	busy    atomic.Bool
 }
 
-const fetchTimeout = 600 * time.Millisecond
+const (
+	fetchTimeout = 1200 * time.Millisecond
+	maxDocument  = 16 << 20 // bytes
+)
 
 // NewFetcher returns a fetcher that asks peers at the given port.
 func NewFetcher(c *catalog.Catalog, clock boottime.Clock, port string, a Adopter) *HTTPFetcher {
@@ -102,6 +149,9 @@
 	if err := json.NewDecoder(resp.Body).Decode(&reply); err != nil {
 		return err
 	}
+	if err := reply.unpack(); err != nil {
+		return err
+	}
 	at := sent.Add(-time.Duration(reply.AgeMS) * time.Millisecond)
 	f.adopter.AdoptFromPeer(ip, reply.State, at)
 	return nil
