--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -55,7 +55,7 @@
 
 // ForPromptLarge is the same in a large fleet of daemons, where the load that
 // is known is older.
-var ForPromptLarge = Bound{Factor: 1.5, Slack: 1.5}
+var ForPromptLarge = Bound{Factor: 1.25, Slack: 1}
 
 // limit returns the bound on the load that a request may meet.
 func (b Bound) limit(mean float64) float64 { return b.Factor*mean + b.Slack }
