--- a/gateway/call/call.go
+++ b/gateway/call/call.go
@@ -43,22 +43,12 @@
 	FetchFrom   string // address of a server whose cache has more of the prompt; empty: none
 }
 
-// Load is what a backend server says about itself with an answer.
-type Load struct {
-	Known   bool
-	Running int
-	Waiting int
-	Slots   int
-	Pace    float64 // time that work takes now over its usual time; 0 if not told
-}
-
 // Reply is the head of a backend server's answer.
 type Reply struct {
 	Status      int
-	RequestID   string // of the request that is answered; empty if not told
-	Signed      bool   // the server vouches for the answer
-	NotExecuted bool   // the server has not run the request and never will
-	Load        Load
+	RequestID   string        // of the request that is answered; empty if not told
+	Signed      bool          // the server vouches for the answer
+	NotExecuted bool          // the server has not run the request and never will
 	IdleTimeout time.Duration // after which the server closes the idle connection; 0 if not told
 }
 
--- a/gateway/catalog/catalog.go
+++ b/gateway/catalog/catalog.go
@@ -95,6 +95,15 @@
 	return c.clock().Sub(boottime.Instant(at)), true
 }
 
+// Confirmation returns which state was confirmed last, and how long ago; ok is
+// false if none was. The parts belong together, whatever is adopted meanwhile.
+func (c *Catalog) Confirmation() (revision int64, hash uint64, age time.Duration, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	age, ok = c.Age()
+	return c.state.Revision, c.state.Hash, age, ok
+}
+
 // State returns the state in force in the form that peers are told.
 func (c *Catalog) State() State {
 	c.mu.Lock()
--- a/gateway/catalog/catalog_test.go
+++ b/gateway/catalog/catalog_test.go
@@ -96,3 +96,29 @@
 	default:
 	}
 }
+
+// What a daemon tells its peers must not join an old state with the younger
+// confirmation of a newer one: they would accept keys that are taken away.
+func TestAConfirmationBelongsToItsState(t *testing.T) {
+	is := is.New(t)
+	const end = 20_000
+	c := New(func() boottime.Instant { return end })
+	c.Adopt(State{Revision: 1, RawRev: 1}, version(1), 1)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for rev := int64(2); rev < end; rev++ {
+			c.Adopt(State{Revision: rev, RawRev: rev}, version(rev), boottime.Instant(rev))
+		}
+	}()
+	for running := true; running; {
+		select {
+		case <-done:
+			running = false
+		default:
+		}
+		revision, _, age, ok := c.Confirmation()
+		is.True(ok)
+		is.Equal(int64(end)-int64(age), revision)
+	}
+}
--- a/gateway/daemon/settings.go
+++ b/gateway/daemon/settings.go
@@ -14,7 +14,6 @@
 	Exchange  string   // UDP address for datagrams between daemons
 	Metrics   string   // address of the metrics; empty: not served
 	Seeds     []string // control addresses of some daemons
-	Cores     float64  // processor share
 	Memory    int64    // bytes
 	Retry     RetryBounds
 	KeyLease  time.Duration // 0: API keys are accepted without end
--- a/gateway/peers/exchange.go
+++ b/gateway/peers/exchange.go
@@ -55,7 +55,7 @@
 
 // Fetcher gets a newer state from a peer.
 type Fetcher interface {
-	Fetch(ctx context.Context, ip string, revision int64)
+	Fetch(ctx context.Context, ip string)
 }
 
 // Exchange sends and receives datagrams.
@@ -151,11 +151,11 @@
 }
 
 func (e *Exchange) message() *Message {
-	view := e.catalog.View()
+	revision, hash, age, confirmed := e.catalog.Confirmation()
 	m := &Message{
 		State:    e.status(),
-		Revision: view.Revision,
-		Hash:     view.Hash,
+		Revision: revision,
+		Hash:     hash,
 		AgeMS:    -1,
 		InFlight: e.ownWork(),
 		Broken:   e.suspects.Own(),
@@ -163,7 +163,7 @@
 		Others:   e.table.others(),
 	}
 	m.State.Reading = e.table.canRead()
-	if age, ok := e.catalog.Age(); ok {
+	if confirmed {
 		m.AgeMS = age.Milliseconds() + 1
 	}
 	return m
@@ -220,7 +220,7 @@
 		}
 	}
 	if view := e.catalog.View(); m.Revision > view.Revision && m.Hash != view.Hash {
-		e.fetcher.Fetch(ctx, ip, m.Revision)
+		e.fetcher.Fetch(ctx, ip)
 	}
 }
 
--- a/gateway/peers/fetch.go
+++ b/gateway/peers/fetch.go
@@ -122,7 +122,7 @@
 }
 
 // Fetch asks a peer in the background, unless another fetch is under way.
-func (f *HTTPFetcher) Fetch(ctx context.Context, ip string, _ int64) {
+func (f *HTTPFetcher) Fetch(ctx context.Context, ip string) {
 	if !f.busy.CompareAndSwap(false, true) {
 		return
 	}
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -24,7 +24,7 @@
 
 type fetches struct{ asked []string }
 
-func (f *fetches) Fetch(_ context.Context, ip string, _ int64) { f.asked = append(f.asked, ip) }
+func (f *fetches) Fetch(_ context.Context, ip string) { f.asked = append(f.asked, ip) }
 
 // newExchange returns an exchange without a socket.
 func newExchange(c *fakeClock) (*Exchange, *fetches) {
--- a/gateway/reader/reader.go
+++ b/gateway/reader/reader.go
@@ -79,7 +79,6 @@
 	clock   boottime.Clock
 	log     Log
 
-	lastOK    boottime.Instant // 0: never
 	failing   bool
 	failedAt  boottime.Instant
 	lapsed    []catalog.Server // kept though the store no longer lists them
@@ -165,7 +164,6 @@
 		}
 	}
 	r.failing = false
-	r.lastOK = now
 }
 
 // storeWasAway tells whether no daemon could read the store, rather than only
