upstream, sse: code that nothing calls removed

Found on reading the change: a read deadline on answers, a count of uses of a connection and a reset of the event splitter had no caller. Behaviour is the same; vet, staticcheck and the race tests of upstream, sse and ingress pass.

--- a/gateway/sse/sse.go
+++ b/gateway/sse/sse.go
@@ -36,9 +36,6 @@
 // Rest returns the bytes of an event that is not whole.
 func (s *Splitter) Rest() []byte { return s.buf[s.next:] }
 
-// Reset drops everything, for a stream that starts anew.
-func (s *Splitter) Reset() { s.buf, s.next = s.buf[:0], 0 }
-
 // boundary returns the end of the last whole event; 0 if there is none.
 func boundary(b []byte) int {
 	end := 0
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -26,7 +26,6 @@
 	tcp       *net.TCPConn
 	br        *bufio.Reader
 	idleUntil time.Time // the server may close it from then on
-	uses      int
 }
 
 func dial(ctx context.Context, address string) (*conn, error) {
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -10,7 +10,6 @@
 	"net/url"
 	"strings"
 	"sync"
-	"time"
 
 	"cassialatch.dev/gateway/call"
 	"cassialatch.dev/gateway/catalog"
@@ -217,6 +216,3 @@
 		a.pool.forget(a.server)
 	})
 }
-
-// Deadline bounds reads of the body; a zero time removes the bound.
-func (a *Answer) Deadline(t time.Time) error { return a.conn.tcp.SetReadDeadline(t) }
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -130,7 +130,6 @@
 		p.forget(id)
 		return
 	}
-	c.uses++
 	c.idleUntil = time.Now().Add(idle)
 	p.mu.Lock()
 	defer p.mu.Unlock()
