gateway/ingress: failing tests: idle connections are closed with a request on them

Callers see: a request on a kept connection is read and passed on to a backend server, and the connection is closed without a response.

Evidence: two tests that fail on the landed code. One holds back the read of a connection after it has taken the request from the network, lets CloseIdle run, and goes on: the handler runs, the caller gets "unexpected EOF".

--- /dev/null
+++ b/gateway/ingress/server_test.go
@@ -0,0 +1,169 @@
+package ingress
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// gatedListener accepts connections whose next read can be held back after it
+// has taken bytes from the network.
+type gatedListener struct {
+	net.Listener
+	armed   atomic.Bool
+	read    chan struct{} // receives a value once a read is held back
+	release chan struct{} // closed to let it return
+}
+
+func (l *gatedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &gatedConn{Conn: c, l: l}, nil
+}
+
+type gatedConn struct {
+	net.Conn
+	l *gatedListener
+}
+
+func (c *gatedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && c.l.armed.CompareAndSwap(true, false) {
+		c.l.read <- struct{}{}
+		<-c.l.release
+	}
+	return n, err
+}
+
+// startServer serves the handler on a loopback address until the test ends.
+func startServer(t *testing.T, h http.HandlerFunc) (*Server, *gatedListener) {
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &gatedListener{Listener: inner, read: make(chan struct{}), release: make(chan struct{})}
+	s := NewServer(h)
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = s.Serve(l) })
+	t.Cleanup(func() {
+		s.Close()
+		wg.Wait()
+	})
+	return s, l
+}
+
+// keptConn is a caller's connection that is used for several requests.
+type keptConn struct {
+	net.Conn
+	br *bufio.Reader
+}
+
+func dialKept(t *testing.T, address string) *keptConn {
+	c, err := net.Dial("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return &keptConn{Conn: c, br: bufio.NewReader(c)}
+}
+
+// do sends a request and reads the response. It returns the status, or an error
+// if the connection ends without a complete response.
+func (c *keptConn) do() (int, error) {
+	if err := c.send(); err != nil {
+		return 0, err
+	}
+	return c.receive()
+}
+
+func (c *keptConn) send() error {
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	return err
+}
+
+func (c *keptConn) receive() (int, error) {
+	resp, err := http.ReadResponse(c.br, nil)
+	if err != nil {
+		return 0, err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
+
+// waitIdle returns once the server has no request in flight.
+func waitIdle(s *Server) {
+	for s.Active() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against the loss of a request that the daemon has read from a kept
+// connection, at the moment at which the connection's idle timeout ends.
+func TestCloseIdle_ServesRequestThatWasJustRead(t *testing.T) {
+	is := is.New(t)
+	s, l := startServer(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	c := dialKept(t, l.Addr().String())
+	status, err := c.do()
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	waitIdle(s)
+
+	l.armed.Store(true)
+	is.NoErr(c.send())
+	<-l.read
+	s.CloseIdle(time.Nanosecond)
+	close(l.release)
+	status, err = c.receive()
+	is.NoErr(err) // the request was read, so it must be answered
+	is.Equal(status, http.StatusOK)
+}
+
+// Guards against the loss of requests that arrive on kept connections while
+// expired ones are being closed: those that a handler has started must end with
+// a response.
+func TestCloseIdle_AnswersEachRequestItHandles(t *testing.T) {
+	is := is.New(t)
+	var handled, answered atomic.Int64
+	s, l := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		handled.Add(1)
+		w.WriteHeader(http.StatusOK)
+	})
+	const callers, requests = 16, 200
+	var wg sync.WaitGroup
+	for range callers {
+		wg.Go(func() {
+			c := dialKept(t, l.Addr().String())
+			for range requests {
+				if status, err := c.do(); err == nil && status == http.StatusOK {
+					answered.Add(1)
+					continue
+				}
+				c.Close()
+				c = dialKept(t, l.Addr().String())
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		wg.Wait()
+		close(done)
+	}()
+	for {
+		s.CloseIdle(time.Nanosecond)
+		select {
+		case <-done:
+			is.Equal(answered.Load(), handled.Load()) // requests handled without a response to their caller
+			return
+		default:
+		}
+	}
+}
