--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -310,7 +310,9 @@
 		d.pool.Expire(func(id string) bool { return listed[id] })
 		d.health.Expire()
 		if view.Table != nil {
-			d.frontend.CloseIdle(view.Table.Limits().IdleTimeout)
+			for range d.frontend.CloseIdle(view.Table.Limits().IdleTimeout) {
+				d.metrics.Count("idle_connections_closed")
+			}
 		}
 		known = d.logPeers(known)
 	}
--- a/gateway/ingress/server_test.go
+++ b/gateway/ingress/server_test.go
@@ -167,3 +167,22 @@
 		}
 	}
 }
+
+// Guards against connections that are closed under callers which still rely on
+// the idle timeout of the previous configuration.
+func TestCloseIdle_LoweredLimitAppliesFromTheNextRequest(t *testing.T) {
+	is := is.New(t)
+	s, l := startServer(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	is.Equal(s.CloseIdle(time.Hour), 0)
+	c := dialKept(t, l.Addr().String())
+	_, err := c.do()
+	is.NoErr(err)
+	waitIdle(s)
+	is.Equal(s.CloseIdle(time.Nanosecond), 0)
+	_, err = c.do()
+	is.NoErr(err)
+	waitIdle(s)
+	is.Equal(s.CloseIdle(time.Nanosecond), 1)
+	_, err = c.br.ReadByte()
+	is.Equal(err, io.EOF)
+}
