gateway/ingress, daemon: the end of a drain answers the requests in flight

Callers saw: at the end of a drain, connections with a request in flight were closed without a response, or in the middle of one. The log said "left, caller_left", as if the callers had disconnected.

Cause: the drain checked Active() == 0 and then closed all connections; a request that net/http was reading, or that was in flight when the time was up, lost its connection. Closing a connection cancels the request's context just as a caller does that disconnects, so that log and handler could not tell the two apart.

TestStop_RequestsInFlightGetResponse and TestStop_ServesRequestThatWasJustRead describe the two cases; Server had only Close before, which ends both with EOF.

Change: Server.Stop closes the listener, lets idle connections expire, ends the contexts of requests with the cause ErrStopped, and waits 200 ms for the handlers: a request without a response gets 502 (or 503, if it reached no server). Its record has the reason daemon_stopped.

--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -352,6 +352,9 @@
 	// directory.
 	minDrain          = 7 * time.Second
 	drainPollInterval = 50 * time.Millisecond
+	// stopTimeout limits how long the daemon waits, after the drain, for responses
+	// to the requests that are still in flight.
+	stopTimeout = 200 * time.Millisecond
 	// logFlushTimeout limits how long the daemon waits for queued log lines.
 	logFlushTimeout = 100 * time.Millisecond
 )
@@ -382,7 +385,7 @@
 		}
 		time.Sleep(drainPollInterval)
 	}
-	d.frontend.Close()
+	d.frontend.Stop(stopTimeout)
 	for _, s := range d.auxServers {
 		s.Close()
 	}
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -35,6 +35,7 @@
 	ReasonBodyUnreadable   Reason = "body_broken"
 	ReasonCrashesServers   Reason = "crashes_servers"
 	ReasonDraining         Reason = "daemon_draining"
+	ReasonStopped          Reason = "daemon_stopped"
 	ReasonNoServer         Reason = "no_server"
 	ReasonRetryBudget      Reason = "retry_budget_spent"
 	ReasonDeadline         Reason = "deadline"
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -275,17 +275,20 @@
 
 // interruptReason returns why the context of a request has ended.
 func interruptReason(ctx context.Context) Reason {
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, context.DeadlineExceeded):
 		return ReasonDeadline
+	case errors.Is(cause, ErrStopped):
+		return ReasonStopped
 	}
 	return ReasonCallerLeft
 }
 
-// endInterrupted ends a request whose caller has disconnected or whose deadline
-// has passed.
+// endInterrupted ends a request whose caller has disconnected, whose deadline
+// has passed, or whose daemon stops.
 func (q *request) endInterrupted(ctx context.Context, w http.ResponseWriter) {
-	if interruptReason(ctx) == ReasonDeadline {
-		q.giveUp(w, ReasonDeadline, 0)
+	if reason := interruptReason(ctx); reason != ReasonCallerLeft {
+		q.giveUp(w, reason, 0)
 		return
 	}
 	q.rec.Outcome, q.rec.Reason = OutcomeCallerLeft, ReasonCallerLeft
--- a/gateway/ingress/server.go
+++ b/gateway/ingress/server.go
@@ -1,6 +1,8 @@
 package ingress
 
 import (
+	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -15,15 +17,24 @@
 	headerTimeout  = 10 * time.Second
 )
 
+// ErrStopped is the cause with which Server.Stop ends the contexts of requests.
+var ErrStopped = errors.New("ingress: server stopped")
+
 // Server accepts connections from callers. A request that it has read is always
-// passed to the handler, also if its connection is being closed as idle.
+// passed to the handler, also if its connection is being closed as idle or the
+// server is being stopped.
 type Server struct {
 	http *http.Server
+	// cancel ends the contexts of all requests.
+	cancel context.CancelCauseFunc
 
-	mu    sync.Mutex
-	limit time.Duration                // idle timeout of the last call of CloseIdle
-	idle  map[net.Conn]*idleConnection // connections without a request
-	busy  map[net.Conn]struct{}        // connections with a request in flight
+	mu       sync.Mutex
+	listener net.Listener
+	limit    time.Duration                // idle timeout of the last call of CloseIdle
+	idle     map[net.Conn]*idleConnection // connections without a request
+	busy     map[net.Conn]struct{}        // connections with a request in flight
+	stopping bool
+	empty    chan struct{} // closed when there are no connections after Stop was called
 }
 
 // idleConnection describes a connection without a request.
@@ -35,8 +46,15 @@
 
 // NewServer returns a server that passes requests to the handler.
 func NewServer(h http.Handler) *Server {
-	s := &Server{idle: make(map[net.Conn]*idleConnection), busy: make(map[net.Conn]struct{})}
+	s := &Server{
+		idle:  make(map[net.Conn]*idleConnection),
+		busy:  make(map[net.Conn]struct{}),
+		empty: make(chan struct{}),
+	}
+	var ctx context.Context
+	ctx, s.cancel = context.WithCancelCause(context.Background())
 	s.http = &http.Server{
+		BaseContext:       func(net.Listener) context.Context { return ctx },
 		Handler:           h,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout,
@@ -45,11 +63,59 @@
 	return s
 }
 
-// Serve accepts connections from the listener until Close is called.
-func (s *Server) Serve(l net.Listener) error { return s.http.Serve(l) }
+// Serve accepts connections from the listener until Stop is called, and then
+// returns http.ErrServerClosed.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	s.listener = l
+	s.mu.Unlock()
+	err := s.http.Serve(l)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return http.ErrServerClosed
+	}
+	return err
+}
+
+// Stop closes the listener and the idle connections and ends the contexts of the
+// requests in flight with the cause ErrStopped. When their handlers have returned,
+// but at the latest after the timeout, it closes the remaining connections.
+func (s *Server) Stop(timeout time.Duration) {
+	s.beginStop()
+	s.cancel(ErrStopped)
+	select {
+	case <-s.empty:
+	case <-time.After(timeout):
+	}
+	s.http.Close()
+}
+
+// beginStop closes the listener and the idle connections.
+func (s *Server) beginStop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+	if s.listener != nil {
+		s.listener.Close()
+	}
+	for c, idle := range s.idle {
+		expire(c, idle)
+	}
+	s.closeIfEmpty()
+}
 
-// Close closes the listener and all connections at once.
-func (s *Server) Close() error { return s.http.Close() }
+// closeIfEmpty closes s.empty if the server is stopping and has no connections.
+func (s *Server) closeIfEmpty() {
+	if !s.stopping || len(s.idle)+len(s.busy) > 0 {
+		return
+	}
+	select {
+	case <-s.empty:
+	default:
+		close(s.empty)
+	}
+}
 
 // Active returns the number of connections with a request in flight.
 func (s *Server) Active() int {
@@ -102,6 +168,9 @@
 	switch state {
 	case http.StateNew, http.StateIdle:
 		s.idle[c] = &idleConnection{since: time.Now(), limit: s.limit}
+		if s.stopping {
+			c.Close()
+		}
 	case http.StateActive:
 		s.busy[c] = struct{}{}
 		if idle != nil && idle.expired {
@@ -110,4 +179,5 @@
 			_ = c.SetReadDeadline(time.Time{})
 		}
 	}
+	s.closeIfEmpty()
 }
--- a/gateway/ingress/server_test.go
+++ b/gateway/ingress/server_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -55,7 +57,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = s.Serve(l) })
 	t.Cleanup(func() {
-		s.Close()
+		s.Stop(0)
 		wg.Wait()
 	})
 	return s, l
@@ -186,3 +188,58 @@
 	_, err = c.br.ReadByte()
 	is.Equal(err, io.EOF)
 }
+
+// Guards against requests that are in flight at the end of a drain and whose
+// connections are closed without a response.
+func TestStop_RequestsInFlightGetResponse(t *testing.T) {
+	is := is.New(t)
+	started := make(chan struct{})
+	s, l := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+		if errors.Is(context.Cause(r.Context()), ErrStopped) {
+			w.WriteHeader(http.StatusBadGateway)
+		}
+	})
+	c := dialKept(t, l.Addr().String())
+	is.NoErr(c.send())
+	<-started
+	s.Stop(time.Minute)
+	status, err := c.receive()
+	is.NoErr(err)
+	is.Equal(status, http.StatusBadGateway)
+}
+
+// Guards against a request that is read while the server is stopped and whose
+// connection is closed as idle.
+func TestStop_ServesRequestThatWasJustRead(t *testing.T) {
+	is := is.New(t)
+	s, l := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	c := dialKept(t, l.Addr().String())
+	l.armed.Store(true)
+	is.NoErr(c.send())
+	<-l.read
+	stopped := make(chan struct{})
+	go func() {
+		s.Stop(time.Minute)
+		close(stopped)
+	}()
+	for !s.isStopping() {
+		time.Sleep(time.Millisecond)
+	}
+	close(l.release)
+	status, err := c.receive()
+	is.NoErr(err)
+	is.Equal(status, http.StatusServiceUnavailable)
+	<-stopped
+}
+
+// isStopping reports whether Stop has closed the listener and the idle connections.
+func (s *Server) isStopping() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopping
+}
