gateway/ingress: a response written during a drain ends its connection

Callers could see: a caller whose request was accepted shortly before SIGTERM got its response without Connection: close, kept the connection, and sent its next request to a daemon that was about to end.

Cause: the header was set when a request arrived, from the state at that time.

Evidence: TestHandlerEndsConnectionOfRequestAcceptedBeforeDrain failed before ("not true: resp.Close"). Not shown to have lost a request.

Change: the header is set when the response's header is written.

--- a/gateway/ingress/handler.go
+++ b/gateway/ingress/handler.go
@@ -90,10 +90,8 @@
 	rec := &Record{Start: time.Now(), Host: r.Host, Path: r.URL.Path}
 	defer h.Recorder.Record(rec)
 	defer rec.end()
-	if _, draining := h.Draining(); draining {
-		w.Header().Set("Connection", "close")
-	}
 	q, reject := h.admit(w, r, rec)
+	w = &drainWriter{ResponseWriter: w, draining: h.draining}
 	if reject != nil {
 		reject.write(w, rec)
 		return
@@ -103,6 +101,12 @@
 	q.run(ctx, w)
 }
 
+// draining reports whether the daemon is draining.
+func (h *Handler) draining() bool {
+	_, draining := h.Draining()
+	return draining
+}
+
 // request holds the state of one request while the handler serves it.
 type request struct {
 	h           *Handler
--- a/gateway/ingress/ingress_test.go
+++ b/gateway/ingress/ingress_test.go
@@ -456,6 +456,23 @@
 	is.Equal(b.runs.Load(), int32(1))
 }
 
+// Guards against callers that learn of a drain only by the connection's end, and
+// may lose a request that they send at that moment.
+func TestHandlerEndsConnectionOfRequestAcceptedBeforeDrain(t *testing.T) {
+	is := is.New(t)
+	var draining atomic.Bool
+	b := startBackend(t, func(b *backend, req *http.Request, c net.Conn) {
+		draining.Store(true)
+		respondOK(b, req, c)
+	})
+	f := newFixture(t, b)
+	f.handler.Draining = func() (time.Duration, bool) { return time.Minute, draining.Load() }
+	resp, _, err := f.do(t, "/safe/x")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.True(resp.Close)
+}
+
 func TestHandlerRefusesRequestThatCrashesServers(t *testing.T) {
 	is := is.New(t)
 	b := startBackend(t, resetConn)
