ingress: during a drain, only the deadline decides what is admitted

What callers could see: a stream that a draining daemon accepted on the strength of an estimate (1.5 s to the first token, 8 ms for each further one) was cut off in the middle when the drain ended, if the server computed it more slowly.

Cause: the estimate was used as an upper bound and is none.

Evidence: the new test on the code before: ingress_test.go:471: 200 != 503 --- FAIL: TestHandlerRejectsStreamThatMayOutlastDrainDespiteFewTokens

Ruled out: a more careful estimate. Where streams are long (estimates of 9.1 and 10.4 s, a drain of 7 s) it already admitted none, and where they are short the deadline is only 0.3 to 0.8 s longer than the estimate.

Change: a draining daemon admits a request only if its deadline, less the time already taken to read it, ends before the drain does. A deadline is enforced, so no request admitted during a drain can be cut by its end. The estimate is removed.

--- a/gateway/ingress/handler.go
+++ b/gateway/ingress/handler.go
@@ -74,14 +74,6 @@
 // last check of the lease until the request has reached the server.
 const keyLeaseMargin = 400 * time.Millisecond
 
-// firstTokenTime and perTokenTime are upper bounds on the time to the first
-// token and between tokens of a stream. They are used to estimate whether a
-// stream ends before a draining daemon exits.
-const (
-	firstTokenTime = 1500 * time.Millisecond
-	perTokenTime   = 8 * time.Millisecond
-)
-
 // defaultDeadline applies if neither the caller nor the route sets a timeout.
 const defaultDeadline = 60 * time.Second
 
@@ -179,21 +171,15 @@
 	if h.Quarantine.ShouldRefuse(q.fingerprint) {
 		return nil, notRun(ReasonCrashesServers, 0)
 	}
-	if left, draining := h.Draining(); draining && q.estimateDuration() > left {
+	// Only the deadline bounds how long a request takes: a server may compute a
+	// stream slowly, or queue or preempt it.
+	if left, draining := h.Draining(); draining && q.remaining() > left {
 		return nil, notRun(ReasonDraining, drainRetryAfter)
 	}
 	h.Budget.RecordRequest(q.service.Name)
 	return q, nil
 }
 
-// estimateDuration returns an upper estimate of the time that the request takes.
-func (q *request) estimateDuration() time.Duration {
-	if q.route.Kind != route.Stream || q.call.MaxOutputTokens == 0 {
-		return q.deadline
-	}
-	return min(q.deadline, firstTokenTime+time.Duration(q.call.MaxOutputTokens)*perTokenTime)
-}
-
 // effectiveDeadline returns the shorter of the caller's deadline and the route's
 // timeout, of those that are set.
 func effectiveDeadline(caller, timeout time.Duration) time.Duration {
--- a/gateway/ingress/ingress_test.go
+++ b/gateway/ingress/ingress_test.go
@@ -39,6 +39,8 @@
 	if d, err := time.ParseDuration(h.Get("Deadline")); err == nil {
 		r.Deadline = d
 	}
+	// The header is absent if the number of tokens is not bounded.
+	_, _ = fmt.Sscan(h.Get("Max-Tokens"), &r.MaxOutputTokens)
 	if h.Get("Parts") != "" {
 		r.Parts, r.PromptTokens = twoParts.Parts, twoParts.PromptTokens
 	}
@@ -456,6 +458,23 @@
 	is.Equal(b.runs.Load(), int32(1))
 }
 
+// A stream that the server computes more slowly than its number of tokens suggests
+// must not be cut off by the end of the drain: only streams whose deadline ends
+// before it may be admitted.
+func TestHandlerRejectsStreamThatMayOutlastDrainDespiteFewTokens(t *testing.T) {
+	is := is.New(t)
+	b := startBackend(t, streamEvents(2, 2, true))
+	f := newFixture(t, b)
+	f.handler.Draining = func() (time.Duration, bool) { return 1900 * time.Millisecond, true }
+	resp, _, err := f.do(t, "/stream/x", "Max-Tokens", "10")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(b.runs.Load(), int32(0))
+	resp, _, err = f.do(t, "/stream/x", "Max-Tokens", "10", "Deadline", "1s")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+}
+
 func TestHandlerRefusesRequestThatCrashesServers(t *testing.T) {
 	is := is.New(t)
 	b := startBackend(t, resetConn)
