daemon, ingress: requests in flight at the end of the drain get a response

What callers could see: a request that a daemon had accepted before SIGTERM and passed on, and that its server had not answered when the drain ended, had its connection closed without a response, although 0.7 s were left. Nothing in the log told of it: the line was written after the log was closed, which panicked, or, if it came in time, said that the caller had left.

Cause: Daemon.drain ended all connections at once with http.Server.Close. To the handlers that looks like callers that disconnect, and they were not waited for.

Ruled out: a longer drain.

Change: at the end of the drain the context of each request in flight ends with a cause of its own. A request without a response is answered: 503 if no server can have run it, else 502. A stream in progress is aborted, as before, so that it does not look complete; its caller may resume it elsewhere. The daemon then waits up to 0.2 s for these responses before it closes the connections. The reason in the log is daemon_draining. A request whose context has ended is no longer sent to a server; before, that was checked only after an attempt.

--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -89,6 +89,8 @@
 	auxServers []*http.Server
 
 	drainDeadline atomic.Pointer[time.Time] // end of the drain; nil: not draining
+	drained       context.Context           // ends when the drain is over
+	endDrain      context.CancelFunc        // ends drained
 }
 
 // New returns a daemon that does not listen or connect before Run. It sets the
@@ -113,6 +115,7 @@
 		cacheIndex: cacheindex.New(time.Now),
 		metrics:    metrics.New(),
 	}
+	d.drained, d.endDrain = context.WithCancel(context.Background())
 	d.self = peers.Self{IP: s.IP, Zone: s.Zone, Seeds: hostsOf(s.Seeds)}
 	d.peers = peers.NewTable(d.self, boottime.Now, c)
 	triggerExchange := func() { d.exchange.Trigger() } // d.exchange is set by Run
@@ -131,6 +134,7 @@
 		Recorder:        d,
 		Settings:        ingress.Settings{Zone: s.Zone, KeyLease: s.KeyLease},
 		Draining:        d.drainTimeLeft,
+		Drained:         d.drained,
 		TriggerExchange: triggerExchange,
 		CachesKnown:     d.scanner.Done(),
 	}
@@ -342,9 +346,12 @@
 	// lastRequestMargin is the time between the latest possible end of a request
 	// that is admitted during the drain and the end of the drain.
 	lastRequestMargin = 300 * time.Millisecond
-	// closeMargin is the time between the end of the drain, when callers'
-	// connections are closed, and the SIGKILL from the platform.
+	// closeMargin is the time between the end of the drain, when requests in
+	// flight are ended, and the SIGKILL from the platform.
 	closeMargin = 700 * time.Millisecond
+	// endTimeout limits how long the daemon waits until the callers of these
+	// requests have received their responses.
+	endTimeout = 200 * time.Millisecond
 	// minDrain is the shortest drain, unless the grace period is shorter. Callers
 	// keep connecting for this long to addresses that they have cached from the
 	// directory.
@@ -365,8 +372,8 @@
 }
 
 // drain keeps serving while callers move to other daemons. It closes the
-// frontend once no request is in flight, but not before minDrain, and at the
-// latest closeMargin before the end of the grace period.
+// frontend once no request is in flight, but not before minDrain. Requests that
+// are in flight closeMargin before the end of the grace period are ended.
 func (d *Daemon) drain() {
 	start := time.Now()
 	end := start.Add(d.settings.Grace - closeMargin)
@@ -374,12 +381,10 @@
 	d.log.Lifecycle("drain_started", "")
 	d.exchange.Trigger()
 	earliest := start.Add(min(minDrain, d.settings.Grace-closeMargin))
-	for now := start; now.Before(end); now = time.Now() {
-		if now.After(earliest) && d.frontend.Active() == 0 {
-			break
-		}
-		time.Sleep(drainPollInterval)
-	}
+	time.Sleep(time.Until(earliest))
+	d.awaitIdle(end)
+	d.endDrain()
+	d.awaitIdle(time.Now().Add(endTimeout))
 	d.frontend.Close()
 	for _, s := range d.auxServers {
 		s.Close()
@@ -388,6 +393,14 @@
 	d.writer.Close(logFlushTimeout)
 }
 
+// awaitIdle waits until no request is in flight, but not longer than until the
+// given time.
+func (d *Daemon) awaitIdle(until time.Time) {
+	for time.Now().Before(until) && d.frontend.Active() > 0 {
+		time.Sleep(drainPollInterval)
+	}
+}
+
 // Reload reads the settings again and adds the seeds that they list. A change of
 // any other setting takes effect only after a restart.
 func (d *Daemon) Reload() {
--- /dev/null
+++ b/gateway/daemon/daemon_test.go
@@ -0,0 +1,152 @@
+package daemon
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cassialatch.dev/gateway/boottime"
+	"cassialatch.dev/gateway/call"
+	"cassialatch.dev/gateway/catalog"
+	"cassialatch.dev/gateway/peers"
+	"cassialatch.dev/gateway/route"
+)
+
+// dialect is a call.Dialect without deadlines, prompts and internal headers.
+type dialect struct{}
+
+func (dialect) ParseRequest(http.Header) (call.Request, error) { return call.Request{ID: "r1"}, nil }
+
+func (dialect) OutboundHeader(http.Header, call.Attempt) http.Header { return http.Header{} }
+
+func (dialect) ParseResponse(resp *http.Response) call.ResponseHead {
+	return call.ResponseHead{Status: resp.StatusCode, Signed: true}
+}
+
+func (dialect) StripInternal(http.Header) {}
+
+// newDaemon returns a daemon whose frontend serves the listener and whose only
+// server is at the address backend. It polls no store and has no peers.
+func newDaemon(t *testing.T, grace time.Duration, l net.Listener, backend string) *Daemon {
+	retries := RetryBudget{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}
+	d := New(Settings{Name: "d", Grace: grace, Retry: retries}, Adapter{Dialect: dialect{}})
+	addr := &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)}
+	var err error
+	d.exchange, err = peers.Listen(addr, d.peers, d.loads, d.quarantine, d.cacheIndex, nil, d.peerState)
+	if err != nil {
+		t.Fatal(err)
+	}
+	targets := []route.Target{{Service: "s", Weight: 1}}
+	table := route.NewTable(&route.Config{
+		Version:  1,
+		Services: []route.Service{{Name: "s"}},
+		Routes: []route.Route{
+			{Name: "unsafe", Host: "gateway", Prefix: "/unsafe/", Kind: route.Unsafe, MaxAttempts: 1, Timeout: time.Minute, Targets: targets},
+			{Name: "stream", Host: "gateway", Prefix: "/stream/", Kind: route.Stream, MaxAttempts: 1, Timeout: time.Minute, Targets: targets},
+		},
+	})
+	servers := []catalog.Server{{ID: "b1", Service: "s", Address: backend}}
+	d.catalog.Adopt(catalog.State{Revision: 1, Servers: servers}, table, boottime.Now())
+	go d.serve(func() error { return d.frontend.Serve(l) })
+	return d
+}
+
+func listen(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// shortGrace is a grace period that leaves little time for requests in flight.
+const shortGrace = closeMargin + 100*time.Millisecond
+
+// startServer starts a server that reads one request, writes the response and
+// keeps the connection open. It sends on received when it has done so.
+func startServer(t *testing.T, response string) (address string, received <-chan struct{}) {
+	l := listen(t)
+	done := make(chan struct{}, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		br := bufio.NewReader(c)
+		if _, err := http.ReadRequest(br); err != nil {
+			return
+		}
+		if _, err := io.WriteString(c, response); err != nil {
+			return
+		}
+		done <- struct{}{}
+		// The read ends when the daemon resets the connection.
+		_, _ = br.ReadByte()
+	}()
+	return l.Addr().String(), done
+}
+
+// exchange sends a request for the path to the frontend and returns the response, its body,
+// and the error from reading either.
+func exchange(t *testing.T, frontend, path string) (*http.Response, string, error) {
+	c, err := net.Dial("tcp4", frontend)
+	if err != nil {
+		t.Error(err)
+		return nil, "", err
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: gateway\r\n\r\n", path)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+// A request that was sent to a server and has no response yet at the end of the
+// drain must get one; its connection must not be closed without a response.
+func TestDrainRespondsToRequestThatServerHasNotAnswered(t *testing.T) {
+	is := is.New(t)
+	server, received := startServer(t, "")
+	l := listen(t)
+	d := newDaemon(t, shortGrace, l, server)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		<-received
+		d.drain()
+	})
+	resp, _, err := exchange(t, l.Addr().String(), "/unsafe/x")
+	wg.Wait()
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusBadGateway)
+}
+
+// A stream that is still in progress at the end of the drain must be broken off,
+// so that it can't be mistaken for a complete one.
+func TestDrainAbortsStreamInProgress(t *testing.T) {
+	is := is.New(t)
+	event := "id: 1\ndata: 1\n\n"
+	head := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	server, received := startServer(t, fmt.Sprintf("%s%x\r\n%s\r\n", head, len(event), event))
+	l := listen(t)
+	d := newDaemon(t, shortGrace, l, server)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		<-received
+		d.drain()
+	})
+	_, body, err := exchange(t, l.Addr().String(), "/stream/x")
+	wg.Wait()
+	is.Equal(err, io.ErrUnexpectedEOF)
+	is.Equal(body, event)
+}
--- a/gateway/ingress/handler.go
+++ b/gateway/ingress/handler.go
@@ -68,6 +68,9 @@
 	// Draining reports whether the daemon is draining and, if so, how long a
 	// request that is admitted now may take.
 	Draining func() (left time.Duration, draining bool)
+	// Drained ends when the drain is over. Requests that are then in flight are
+	// ended, so that their callers get a response if they have received none.
+	Drained context.Context
 }
 
 // keyLeaseMargin is subtracted from the key lease. It covers the time from the
@@ -90,11 +93,28 @@
 		reject.write(w, rec)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), rec.Start.Add(q.deadline))
+	ctx, cancel := h.requestContext(r.Context(), rec.Start.Add(q.deadline))
 	defer cancel()
 	q.run(ctx, w)
 }
 
+// errDrained is the cause with which the context of a request ends if the drain
+// ends before the request.
+var errDrained = errors.New("ingress: the drain is over")
+
+// requestContext returns a context that ends when the caller disconnects, at the
+// deadline, or when the drain is over.
+func (h *Handler) requestContext(caller context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(caller)
+	stop := context.AfterFunc(h.Drained, func() { cancel(errDrained) })
+	ctx, cancelDeadline := context.WithDeadline(ctx, deadline)
+	return ctx, func() {
+		cancelDeadline()
+		stop()
+		cancel(nil)
+	}
+}
+
 // request holds the state of one request while the handler serves it.
 type request struct {
 	h           *Handler
--- a/gateway/ingress/ingress_test.go
+++ b/gateway/ingress/ingress_test.go
@@ -187,6 +187,7 @@
 		TriggerExchange: func() {},
 		CachesKnown:     cachesKnown,
 		Draining:        func() (time.Duration, bool) { return 0, false },
+		Drained:         context.Background(),
 	}
 	f.Server = httptest.NewServer(f.handler)
 	t.Cleanup(f.Close)
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -27,6 +27,10 @@
 	q.awaitCaches(ctx)
 	attempts := 0 // those in which a server may have run the request
 	for sends := 0; sends < maxSends; sends++ {
+		if ctx.Err() != nil {
+			q.endInterrupted(ctx, w)
+			return
+		}
 		if q.remaining() < minRemaining {
 			q.giveUp(w, ReasonDeadline, 0)
 			return
@@ -275,18 +279,25 @@
 
 // interruptReason returns why the context of a request has ended.
 func interruptReason(ctx context.Context) Reason {
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, context.DeadlineExceeded):
 		return ReasonDeadline
+	case errors.Is(cause, errDrained):
+		return ReasonDraining
 	}
 	return ReasonCallerLeft
 }
 
-// endInterrupted ends a request whose caller has disconnected or whose deadline
-// has passed.
+// endInterrupted ends a request whose caller has disconnected, whose deadline has
+// passed, or which is in flight when the drain is over.
 func (q *request) endInterrupted(ctx context.Context, w http.ResponseWriter) {
-	if interruptReason(ctx) == ReasonDeadline {
+	switch interruptReason(ctx) {
+	case ReasonDeadline:
 		q.giveUp(w, ReasonDeadline, 0)
 		return
+	case ReasonDraining:
+		q.giveUp(w, ReasonDraining, drainRetryAfter)
+		return
 	}
 	q.rec.Outcome, q.rec.Reason = OutcomeCallerLeft, ReasonCallerLeft
 	q.finished = true
