daemon: no request is admitted once the drain may end

What callers could see: with a grace period longer than 8 s, a request that came just as the daemon found none in flight, and closed all connections, was passed on and cut off. Never seen; the deployments known have a grace period of 8 s, where nothing is admitted after 7 s for another reason (the margin before the end).

Cause: after the shortest drain of 7 s the drain ends as soon as no request is in flight, but requests were admitted until shortly before its latest end. A request admitted between the last look at the count and the close was not counted.

Evidence: the new test (in simulated time, with a request in flight for 8 s and a grace period of a minute) on the code before: daemon_test.go:201: not true: after <= 0 --- FAIL: TestDrainAdmitsNoRequestAfterItsMinimum

Ruled out: counting once more after the close of the listener; requests also come on connections that are open.

Change: admission ends with the shortest drain. A request admitted before is counted as in flight before its admission is decided, so a count of zero afterwards means that none is left. What comes later gets a 503 at once and is not passed on.

--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -88,9 +88,9 @@
 	frontend   *ingress.Server
 	auxServers []*http.Server
 
-	drainDeadline atomic.Pointer[time.Time] // end of the drain; nil: not draining
-	drained       context.Context           // ends when the drain is over
-	endDrain      context.CancelFunc        // ends drained
+	drainTimes atomic.Pointer[drainTimes] // nil: not draining
+	drained    context.Context            // ends when the drain is over
+	endDrain   context.CancelFunc         // ends drained
 }
 
 // New returns a daemon that does not listen or connect before Run. It sets the
@@ -188,7 +188,7 @@
 	d.metrics.Gauge("log_lines_dropped", func() float64 { return float64(d.writer.Dropped()) })
 }
 
-func (d *Daemon) draining() bool { return d.drainDeadline.Load() != nil }
+func (d *Daemon) draining() bool { return d.drainTimes.Load() != nil }
 
 // ready reports whether callers may connect to this daemon: it has a
 // configuration that was confirmed recently, and it is not draining.
@@ -361,14 +361,26 @@
 	logFlushTimeout = 100 * time.Millisecond
 )
 
+// drainTimes holds the times that bound a drain.
+type drainTimes struct {
+	// earliest is when no more requests are admitted. From then on the drain ends
+	// as soon as none is in flight.
+	earliest time.Time
+	latest   time.Time // when requests in flight are ended
+}
+
 // drainTimeLeft returns how long a request that is admitted now may run, and
-// whether the daemon is draining.
+// whether the daemon is draining. Once the drain may end, it is not positive.
 func (d *Daemon) drainTimeLeft() (time.Duration, bool) {
-	end := d.drainDeadline.Load()
-	if end == nil {
+	t := d.drainTimes.Load()
+	if t == nil {
 		return 0, false
 	}
-	return time.Until(*end) - lastRequestMargin, true
+	now := time.Now()
+	if !now.Before(t.earliest) {
+		return 0, true
+	}
+	return t.latest.Sub(now) - lastRequestMargin, true
 }
 
 // drain keeps serving while callers move to other daemons. It closes the
@@ -376,13 +388,13 @@
 // are in flight closeMargin before the end of the grace period are ended.
 func (d *Daemon) drain() {
 	start := time.Now()
-	end := start.Add(d.settings.Grace - closeMargin)
-	d.drainDeadline.Store(&end)
+	longest := d.settings.Grace - closeMargin
+	t := &drainTimes{earliest: start.Add(min(minDrain, longest)), latest: start.Add(longest)}
+	d.drainTimes.Store(t)
 	d.log.Lifecycle("drain_started", "")
 	d.exchange.Trigger()
-	earliest := start.Add(min(minDrain, d.settings.Grace-closeMargin))
-	time.Sleep(time.Until(earliest))
-	d.awaitIdle(end)
+	time.Sleep(time.Until(t.earliest))
+	d.awaitIdle(t.latest)
 	d.endDrain()
 	d.awaitIdle(time.Now().Add(endTimeout))
 	d.frontend.Close()
--- a/gateway/daemon/daemon_test.go
+++ b/gateway/daemon/daemon_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -150,3 +151,53 @@
 	is.Equal(err, io.ErrUnexpectedEOF)
 	is.Equal(body, event)
 }
+
+// pipeListener accepts the server ends of in-memory connections.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// A request that arrives when the drain may end at any moment must not be
+// admitted: it could be cut off by the end, although the grace period has not
+// passed.
+func TestDrainAdmitsNoRequestAfterItsMinimum(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+		d := newDaemon(t, time.Minute, l, "")
+		caller, server := net.Pipe()
+		l.conns <- server
+		// The body is not complete, so this request is in flight.
+		_, err := io.WriteString(caller, "POST /unsafe/x HTTP/1.1\r\nHost: gateway\r\nContent-Length: 2\r\n\r\n1")
+		is.NoErr(err)
+		var wg sync.WaitGroup
+		wg.Go(d.drain)
+		time.Sleep(minDrain - time.Second)
+		before, _ := d.drainTimeLeft()
+		time.Sleep(2 * time.Second)
+		after, draining := d.drainTimeLeft()
+		caller.Close()
+		wg.Wait()
+		is.True(before > 0)
+		is.True(draining)
+		is.True(after <= 0)
+	})
+}
