--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -88,7 +88,7 @@
 	frontend   *ingress.Server
 	auxServers []*http.Server
 
-	drainDeadline atomic.Pointer[time.Time] // end of the drain; nil: not draining
+	drainTimes atomic.Pointer[drainTimes] // nil: not draining
 }
 
 // New returns a daemon that does not listen or connect before Run. It sets the
@@ -184,7 +184,7 @@
 	d.metrics.Gauge("log_lines_dropped", func() float64 { return float64(d.writer.Dropped()) })
 }
 
-func (d *Daemon) draining() bool { return d.drainDeadline.Load() != nil }
+func (d *Daemon) draining() bool { return d.drainTimes.Load() != nil }
 
 // ready reports whether callers may connect to this daemon: it has a
 // configuration that was confirmed recently, and it is not draining.
@@ -344,8 +344,8 @@
 	// lastRequestMargin is the time between the latest possible end of a request
 	// that is admitted during the drain and the end of the drain.
 	lastRequestMargin = 300 * time.Millisecond
-	// closeMargin is the time between the end of the drain, when callers'
-	// connections are closed, and the SIGKILL from the platform.
+	// closeMargin is the time between the end of the drain, when requests in
+	// flight are ended, and the SIGKILL from the platform.
 	closeMargin = 700 * time.Millisecond
 	// minDrain is the shortest drain, unless the grace period is shorter. Callers
 	// keep connecting for this long to addresses that they have cached from the
@@ -359,32 +359,40 @@
 	logFlushTimeout = 100 * time.Millisecond
 )
 
+// drainTimes holds the times that bound a drain.
+type drainTimes struct {
+	// earliest is when no more requests are admitted. From then on the drain ends
+	// as soon as none is in flight.
+	earliest time.Time
+	latest   time.Time // when requests in flight are ended
+}
+
 // drainTimeLeft returns how long a request that is admitted now may run, and
-// whether the daemon is draining.
+// whether the daemon is draining. Once the drain may end, it is not positive.
 func (d *Daemon) drainTimeLeft() (time.Duration, bool) {
-	end := d.drainDeadline.Load()
-	if end == nil {
+	t := d.drainTimes.Load()
+	if t == nil {
 		return 0, false
 	}
-	return time.Until(*end) - lastRequestMargin, true
+	now := time.Now()
+	if !now.Before(t.earliest) {
+		return 0, true
+	}
+	return t.latest.Sub(now) - lastRequestMargin, true
 }
 
 // drain keeps serving while callers move to other daemons. It closes the
-// frontend once no request is in flight, but not before minDrain, and at the
-// latest closeMargin before the end of the grace period.
+// frontend once no request is in flight, but not before minDrain. Requests that
+// are in flight closeMargin before the end of the grace period are ended.
 func (d *Daemon) drain() {
 	start := time.Now()
-	end := start.Add(d.settings.Grace - closeMargin)
-	d.drainDeadline.Store(&end)
+	longest := d.settings.Grace - closeMargin
+	t := &drainTimes{earliest: start.Add(min(minDrain, longest)), latest: start.Add(longest)}
+	d.drainTimes.Store(t)
 	d.log.Lifecycle("drain_started", "")
 	d.exchange.Trigger()
-	earliest := start.Add(min(minDrain, d.settings.Grace-closeMargin))
-	for now := start; now.Before(end); now = time.Now() {
-		if now.After(earliest) && d.frontend.Active() == 0 {
-			break
-		}
-		time.Sleep(drainPollInterval)
-	}
+	time.Sleep(time.Until(t.earliest))
+	d.awaitIdle(t.latest)
 	d.frontend.Stop(stopTimeout)
 	for _, s := range d.auxServers {
 		s.Close()
@@ -393,6 +401,14 @@
 	d.writer.Close(logFlushTimeout)
 }
 
+// awaitIdle waits until no request is in flight, but not longer than until the
+// given time.
+func (d *Daemon) awaitIdle(until time.Time) {
+	for time.Now().Before(until) && d.frontend.Active() > 0 {
+		time.Sleep(drainPollInterval)
+	}
+}
+
 // Reload reads the settings again and adds the seeds that they list. A change of
 // any other setting takes effect only after a restart.
 func (d *Daemon) Reload() {
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -27,6 +27,10 @@
 	q.awaitCaches(ctx)
 	attempts := 0 // those in which a server may have run the request
 	for sends := 0; sends < maxSends; sends++ {
+		if ctx.Err() != nil {
+			q.endInterrupted(ctx, w)
+			return
+		}
 		if q.remaining() < minRemaining {
 			q.giveUp(w, ReasonDeadline, 0)
 			return
@@ -287,8 +291,12 @@
 // endInterrupted ends a request whose caller has disconnected, whose deadline
 // has passed, or whose daemon stops.
 func (q *request) endInterrupted(ctx context.Context, w http.ResponseWriter) {
-	if reason := interruptReason(ctx); reason != ReasonCallerLeft {
-		q.giveUp(w, reason, 0)
+	switch interruptReason(ctx) {
+	case ReasonDeadline:
+		q.giveUp(w, ReasonDeadline, 0)
+		return
+	case ReasonStopped:
+		q.giveUp(w, ReasonStopped, drainRetryAfter)
 		return
 	}
 	q.rec.Outcome, q.rec.Reason = OutcomeCallerLeft, ReasonCallerLeft
