metrics: a client that stops reading no longer blocks requests

What callers could see: no answer to any request of a daemon, and no end of it, while a client of its metrics has stopped reading or is partitioned.

Cause: Registry.ServeHTTP wrote to the client while it held the mutex of the registry. A write to a client that does not read blocks once the send buffer is full, and the metrics endpoint has no write timeout. Each handler records its request under the same mutex before net/http sends its buffered response, so all handlers waited.

Evidence: the new test on the code before:

--- FAIL: TestServeHTTP_StalledClientDoesNotBlockRequests (10.01s) metrics_test.go:91: requests can't be recorded while a client of the metrics does not read

Not shown: that it has happened on a deployment. Metrics are fetched there only while an incident is examined, and a text that fits the send buffer does not block.

Change: the text is rendered to memory under the mutex and written after it is released. It works since no write to a client happens under a lock any more; the text is bounded by the number of series.

--- a/gateway/metrics/metrics.go
+++ b/gateway/metrics/metrics.go
@@ -7,6 +7,7 @@
 package metrics
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -105,20 +106,30 @@
 // ServeHTTP implements http.Handler. It writes all metrics in the Prometheus
 // text format.
 func (r *Registry) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	text := r.render()
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	// A write fails if the client has disconnected; it asks again.
+	_, _ = w.Write(text)
+}
+
+// render returns all metrics as text. It does not write to the client itself,
+// since requests wait for r.mu.
+func (r *Registry) render() []byte {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var b bytes.Buffer
 	for l, n := range r.requests {
-		fmt.Fprintf(w, "cassialatch_requests_total{service=%q,outcome=%q,reason=%q} %d\n", l.service, l.outcome, l.reason, n)
+		fmt.Fprintf(&b, "cassialatch_requests_total{service=%q,outcome=%q,reason=%q} %d\n", l.service, l.outcome, l.reason, n)
 	}
 	for name, n := range r.counters {
-		fmt.Fprintf(w, "cassialatch_%s_total %d\n", name, n)
+		fmt.Fprintf(&b, "cassialatch_%s_total %d\n", name, n)
 	}
 	for name, value := range r.gauges {
-		fmt.Fprintf(w, "cassialatch_%s %g\n", name, value())
+		fmt.Fprintf(&b, "cassialatch_%s %g\n", name, value())
 	}
-	writeHistograms(w, "cassialatch_first_byte_seconds", r.firstByte)
-	writeHistograms(w, "cassialatch_request_seconds", r.total)
+	writeHistograms(&b, "cassialatch_first_byte_seconds", r.firstByte)
+	writeHistograms(&b, "cassialatch_request_seconds", r.total)
+	return b.Bytes()
 }
 
 func writeHistograms(w io.Writer, name string, all map[string]*histogram) {
--- a/gateway/metrics/metrics_test.go
+++ b/gateway/metrics/metrics_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -49,3 +51,47 @@
 	is.True(strings.Count(render(r), "cassialatch_requests_total{") <= maxSeries+1)
 	is.True(len(r.total) <= maxSeries+1)
 }
+
+// stalledWriter is an http.ResponseWriter whose client has stopped reading.
+type stalledWriter struct {
+	http.ResponseWriter
+	stalled chan struct{} // closed when the first write has begun
+	resume  chan struct{} // closed to let writes continue
+	once    sync.Once
+}
+
+func (w *stalledWriter) Write(p []byte) (int, error) {
+	w.once.Do(func() { close(w.stalled) })
+	<-w.resume
+	return w.ResponseWriter.Write(p)
+}
+
+// Guards against requests that get no answer because a client of the metrics has
+// stopped reading: each request is recorded before its response is sent.
+func TestServeHTTP_StalledClientDoesNotBlockRequests(t *testing.T) {
+	is := is.New(t)
+	r := New()
+	r.Request("s", "answered", "", time.Millisecond, time.Millisecond)
+	w := &stalledWriter{ResponseWriter: httptest.NewRecorder(), stalled: make(chan struct{}), resume: make(chan struct{})}
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		r.ServeHTTP(w, nil)
+	}()
+	<-w.stalled
+	recorded := make(chan struct{})
+	go func() {
+		defer close(recorded)
+		r.Request("s", "answered", "", time.Millisecond, time.Millisecond)
+		r.Count("dials")
+	}()
+	select {
+	case <-recorded:
+	case <-time.After(10 * time.Second): // only ends a hang
+		t.Error("requests can't be recorded while a client of the metrics does not read")
+	}
+	close(w.resume)
+	<-served
+	<-recorded
+	is.True(strings.Contains(render(r), `cassialatch_dials_total 1`))
+}
