eventlog: a line logged while the daemon stops no longer panics

What callers could see: nothing by itself, since their connections are closed by then. The process could end by a panic with status 2 instead of ending its drain, and the requests that the end of the drain interrupts were missing from the log: their handlers panicked in place of logging.

Cause: Writer.Close closed the queue, and a later Write sent on the closed channel. The daemon closes the writer while the goroutines of its reader, scanner, maintenance, reload and interrupted handlers still run. net/http recovers the panic of a handler; that of any other goroutine ends the process.

Evidence: the new test on the code before:

WARNING: DATA RACE Read at ... by goroutine 19: runtime.chansend() panic: send on closed channel [recovered, repanicked]

Change: the queue is never closed. Close closes another channel, after which the goroutine of the writer writes what is queued and ends. A line that comes later is queued or dropped, as while the output is stalled.

dropsReportInterval is removed, it was not used. A line is only dropped while 512 others are queued, so the batch that holds them reports it.

--- a/gateway/eventlog/eventlog.go
+++ b/gateway/eventlog/eventlog.go
@@ -4,7 +4,7 @@
 // Writing never blocks. Lines go through a bounded queue; when it is full, lines
 // are dropped and counted, and an event "log_lines_dropped" reports the count.
 // Log and Writer are safe for concurrent use, except that Writer.Close must be
-// called once, after the last Write.
+// called once.
 package eventlog
 
 import (
@@ -16,8 +16,7 @@
 )
 
 const (
-	queueSize           = 512 // lines
-	dropsReportInterval = time.Second
+	queueSize = 512 // lines
 	// maxBatch is the size in bytes from which no more lines are added to a batch.
 	maxBatch = 16 << 10
 	// batchDelay is how long a line waits for others, so that one write to the
@@ -29,21 +28,26 @@
 // block.
 type Writer struct {
 	dst     io.Writer
-	queue   chan []byte
+	queue   chan []byte // never closed, since goroutines may log until the process exits
 	dropped atomic.Uint64
-	done    chan struct{}
+	closing chan struct{} // closed by Close
+	done    chan struct{} // closed when run has ended
+
+	// Used by run only.
+	batch    []byte
+	reported uint64 // dropped lines that were reported
 }
 
 // NewWriter returns a Writer to dst and starts its goroutine, which runs until
 // Close.
 func NewWriter(dst io.Writer) *Writer {
-	w := &Writer{dst: dst, queue: make(chan []byte, queueSize), done: make(chan struct{})}
+	w := &Writer{dst: dst, queue: make(chan []byte, queueSize), closing: make(chan struct{}), done: make(chan struct{})}
 	go w.run()
 	return w
 }
 
 // Write queues a copy of the line, or drops it if the queue is full. It never
-// blocks and never returns an error.
+// blocks and never returns an error. Lines queued after Close may not be written.
 func (w *Writer) Write(line []byte) (int, error) {
 	own := append([]byte(nil), line...)
 	select {
@@ -60,42 +64,61 @@
 // Close writes the queued lines and returns when they are written, or after the
 // timeout.
 func (w *Writer) Close(timeout time.Duration) {
-	close(w.queue)
+	close(w.closing)
 	select {
 	case <-w.done:
 	case <-time.After(timeout):
 	}
 }
 
-// run writes batches until the queue is closed and empty.
+// run writes batches until Close is called, and then the lines that are queued.
 func (w *Writer) run() {
 	defer close(w.done)
-	var batch []byte
-	var reported uint64
-	for line := range w.queue {
-		batch = append(batch[:0], line...)
-		if len(w.queue) == 0 {
-			time.Sleep(batchDelay)
+	for {
+		select {
+		case line := <-w.queue:
+			w.writeBatch(line)
+		case <-w.closing:
+			w.flush()
+			return
 		}
-		batch = w.gather(batch)
-		if n := w.dropped.Load(); n > reported {
-			batch = appendDrops(batch, n-reported, n)
-			reported = n
+	}
+}
+
+// flush writes the lines that are queued.
+func (w *Writer) flush() {
+	for {
+		select {
+		case line := <-w.queue:
+			w.writeBatch(line)
+		default:
+			return
 		}
-		// A write error can't be reported: this output is the only log.
-		_, _ = w.dst.Write(batch)
 	}
 }
 
+// writeBatch writes the line, those queued behind it, and a report of the lines
+// dropped since the last report.
+func (w *Writer) writeBatch(line []byte) {
+	w.batch = append(w.batch[:0], line...)
+	if len(w.queue) == 0 {
+		time.Sleep(batchDelay)
+	}
+	w.batch = w.gather(w.batch)
+	if n := w.dropped.Load(); n > w.reported {
+		w.batch = appendDrops(w.batch, n-w.reported, n)
+		w.reported = n
+	}
+	// A write error can't be reported: this output is the only log.
+	_, _ = w.dst.Write(w.batch)
+}
+
 // gather appends queued lines to the batch until the queue is empty or the batch
 // has reached maxBatch.
 func (w *Writer) gather(batch []byte) []byte {
 	for len(batch) < maxBatch {
 		select {
-		case line, ok := <-w.queue:
-			if !ok {
-				return batch
-			}
+		case line := <-w.queue:
 			batch = append(batch, line...)
 		default:
 			return batch
--- a/gateway/eventlog/eventlog_test.go
+++ b/gateway/eventlog/eventlog_test.go
@@ -100,3 +100,27 @@
 	is.Equal(attempt("late")["queued_tokens"], 9000.0)
 	is.Equal(byID["late"]["prompt"], "5c1e07a2")
 }
+
+// Guards against a process that ends by a panic while it stops: its goroutines
+// still log while the writer is being closed and after that.
+func TestWriter_WritesAfterCloseDoNotPanic(t *testing.T) {
+	is := is.New(t)
+	out := &stallableWriter{}
+	w := NewWriter(out)
+	_, err := w.Write([]byte("before\n"))
+	is.NoErr(err)
+	var writers sync.WaitGroup
+	for range 4 {
+		writers.Go(func() {
+			for range 2 * queueSize {
+				_, _ = w.Write([]byte("during\n")) // Write returns no error
+			}
+		})
+	}
+	w.Close(10 * time.Second)
+	writers.Wait()
+	n, err := w.Write([]byte("after\n"))
+	is.NoErr(err)
+	is.Equal(n, len("after\n"))
+	is.Equal(out.lines()[0], "before")
+}
