daemon: the process goes on when the reader of its log is gone

What callers could see: all connections of a daemon closed without an answer at once, and no ready daemon at that address until it is started again.

Cause: the Go runtime ends a process by SIGPIPE when a write to standard output or standard error fails because the reader has closed the pipe, unless the program handles or ignores that signal. The first log line after the collector of the log had ended therefore ended the daemon, with all that it had accepted.

Not shown: that it has happened on a deployment.

Change: daemon.New ignores SIGPIPE. Such writes then fail with an error that the log already disregards. Writes to sockets never raised the signal.

--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -15,8 +15,10 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"cassialatch.dev/gateway/boottime"
@@ -92,8 +94,10 @@
 }
 
 // New returns a daemon that does not listen or connect before Run. It sets the
-// garbage collector's target and the memory limit of the process.
+// garbage collector's target and the memory limit of the process, and ignores
+// SIGPIPE.
 func New(s Settings, a Adapter) *Daemon {
+	signal.Ignore(syscall.SIGPIPE) // a write to standard output whose reader is gone would end the process
 	debug.SetGCPercent(gcPercent)
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryLimitRatio))
