ingress: a handler that panics answers the caller

What callers could see: a kept connection that is closed without an answer. In the log the request was "refused", as if it were invalid, with no reason and no stack.

Cause: net/http recovers a panic of a handler, prints it to standard error and closes the connection; whatever the handler had buffered is lost.

No panic of a handler was found in the audit of gateway and platform, so this does not explain a lost request by itself.

Change: ServeHTTP recovers. If no response has begun, the caller gets 503 (not run) where the request was sent to no server, and 502 (unknown) otherwise; the header is cleared first, since it may hold a server's signature. If a response has begun, the connection is closed, so that it does not look complete. http.ErrAbortHandler works as before. The connection to the server is reset. The request's reason is "panic", and an event handler_panic has the stack.

The reason server_silent is removed, it was never set.

--- a/gateway/eventlog/eventlog_test.go
+++ b/gateway/eventlog/eventlog_test.go
@@ -124,3 +124,22 @@
 	is.Equal(n, len("after\n"))
 	is.Equal(out.lines()[0], "before")
 }
+
+// Guards against a panic of a handler that leaves no trace in the log.
+func TestLog_PanicIsLoggedWithStack(t *testing.T) {
+	is := is.New(t)
+	out := &stallableWriter{}
+	w := NewWriter(out)
+	New(w, "edge-1").Request(&ingress.Record{ID: "r1", Outcome: ingress.OutcomeUnknown, Status: 502, Reason: ingress.ReasonPanic,
+		Panic: &ingress.Panic{Value: "fault", Stack: []byte("goroutine 7 [running]:\nmain.f()\n")}})
+	w.Close(10 * time.Second)
+	lines := out.lines()
+	is.Equal(len(lines), 2)
+	var event struct{ Event, ID, Error, Stack, Level string }
+	is.NoErr(json.Unmarshal([]byte(lines[0]), &event))
+	is.Equal(event.Event, "handler_panic")
+	is.Equal(event.ID, "r1")
+	is.Equal(event.Error, "fault")
+	is.Equal(event.Stack, "goroutine 7 [running]:\nmain.f()\n")
+	is.Equal(event.Level, "error")
+}
--- a/gateway/ingress/handler.go
+++ b/gateway/ingress/handler.go
@@ -88,8 +88,7 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	rec := &Record{Start: time.Now(), Host: r.Host, Path: r.URL.Path}
-	defer h.Recorder.Record(rec)
-	defer rec.end()
+	defer func() { h.end(w, rec, recover()) }()
 	if _, draining := h.Draining(); draining {
 		w.Header().Set("Connection", "close")
 	}
@@ -103,6 +102,22 @@
 	q.run(ctx, w)
 }
 
+// end passes the record of a request to the recorder. panicked is the value that
+// was recovered from a panic of the handler; nil if there was none. It panics
+// with http.ErrAbortHandler if the connection must be closed, since the caller
+// would otherwise take the response for complete.
+func (h *Handler) end(w http.ResponseWriter, rec *Record, panicked any) {
+	abort := panicked != nil
+	if abort && panicked != http.ErrAbortHandler {
+		abort = !rec.endPanicked(w, panicked)
+	}
+	rec.end()
+	h.Recorder.Record(rec)
+	if abort {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // request holds the state of one request while the handler serves it.
 type request struct {
 	h           *Handler
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -1,6 +1,9 @@
 package ingress
 
 import (
+	"fmt"
+	"net/http"
+	"runtime/debug"
 	"time"
 
 	"cassialatch.dev/gateway/cacheindex"
@@ -42,10 +45,10 @@
 	ReasonServerRefused    Reason = "server_refused"
 	ReasonMisdirected      Reason = "another_incarnation"
 	ReasonConnectionBroken Reason = "connection_broken"
-	ReasonServerSilent     Reason = "server_silent"
 	ReasonResponseUnsigned Reason = "answer_unsigned"
 	ReasonServerError      Reason = "server_error"
 	ReasonCallerLeft       Reason = "caller_left"
+	ReasonPanic            Reason = "panic" // the handler panicked
 )
 
 // Attempt describes one attempt to have a backend server run a request.
@@ -82,8 +85,52 @@
 	Reason        Reason
 	FirstByte     time.Duration // time until the first byte of the response was forwarded
 	Duration      time.Duration
-	Writes        int // writes of stream events to the caller
-	Resumptions   int // attempts that resumed a stream on another server
+	Writes        int    // writes of stream events to the caller
+	Resumptions   int    // attempts that resumed a stream on another server
+	Panic         *Panic // nil unless the handler panicked
+}
+
+// Panic describes an unexpected panic of the handler.
+type Panic struct {
+	Value string // what the handler panicked with
+	Stack []byte // of the goroutine, at most maxStackBytes
+}
+
+const maxStackBytes = 8 << 10
+
+// endPanicked ends a request whose handler has panicked with the given value. It
+// must be called by the deferred function that recovered the value. If no
+// response has begun, it sends one which says whether the request may have run;
+// otherwise it returns false, and the connection must be closed.
+func (r *Record) endPanicked(w http.ResponseWriter, value any) bool {
+	stack := debug.Stack()
+	r.Panic = &Panic{Value: fmt.Sprint(value), Stack: stack[:min(len(stack), maxStackBytes)]}
+	mayHaveRun := r.mayHaveRun()
+	if n := len(r.Attempts); n > 0 && r.Attempts[n-1].Reason == ReasonNone {
+		r.Attempts[n-1].Reason = ReasonPanic
+	}
+	if r.Status != 0 {
+		r.Outcome, r.Reason = OutcomeUnknown, ReasonPanic
+		return false
+	}
+	clear(w.Header()) // may hold a part of a server's header
+	w.Header().Set("Connection", "close")
+	if mayHaveRun {
+		writeUnknown(w, r, ReasonPanic)
+		return true
+	}
+	notRun(ReasonPanic, overloadRetryAfter).write(w, r)
+	return true
+}
+
+// mayHaveRun reports whether a server may have run the request.
+func (r *Record) mayHaveRun() bool {
+	for i := range r.Attempts {
+		if r.Attempts[i].mayHaveRun() {
+			return true
+		}
+	}
+	return false
 }
 
 // end sets the duration, and the outcome if it is not set yet.
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -143,6 +143,7 @@
 	if err != nil {
 		return q.handleSendError(ctx, s, a, err)
 	}
+	defer resp.Abort() // does nothing unless forwarding panics
 	a.Status = resp.Status
 	switch {
 	case resp.NotExecuted:
@@ -249,7 +250,7 @@
 	case !q.mayHaveRun:
 		notRun(reason, retryAfter).write(w, q.rec)
 	default:
-		q.writeUnknown(w, reason)
+		writeUnknown(w, q.rec, reason)
 	}
 }
 
@@ -262,13 +263,14 @@
 	reject.write(w, q.rec)
 }
 
-// writeUnknown sends a response which says that the request may have run.
-func (q *request) writeUnknown(w http.ResponseWriter, reason Reason) {
+// writeUnknown sends a response which says that the request may have run, and
+// sets the status, reason and outcome of the record.
+func writeUnknown(w http.ResponseWriter, rec *Record, reason Reason) {
 	status := http.StatusBadGateway
 	if reason == ReasonDeadline {
 		status = http.StatusGatewayTimeout
 	}
-	q.rec.Status, q.rec.Reason, q.rec.Outcome = status, reason, OutcomeUnknown
+	rec.Status, rec.Reason, rec.Outcome = status, reason, OutcomeUnknown
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
 }
