ingress: the log tells who ended a request without a complete response

What operators saw: a response that was broken off had the outcome of one that was answered with 502 or 504 (unknown); a request whose connection the daemon closed at the end of its drain was logged as left by its caller. So requests that ended without an answer could not be counted, and our own closes not at all.

Change: outcome "aborted" for a response that the gateway breaks off, and reason "daemon_stopped" where the connection ends after the end of the drain, which is when the daemon closes all of them. The metric cassialatch_requests_total has both as labels and so tells apart: caller left, closed by us, server broke off, deadline, panic. What callers receive does not change.

--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -135,6 +135,7 @@
 		Recorder:        d,
 		Settings:        ingress.Settings{Zone: s.Zone, KeyLease: s.KeyLease},
 		Draining:        d.drainTimeLeft,
+		Stopped:         d.stopped,
 		TriggerExchange: triggerExchange,
 		CachesKnown:     d.scanner.Done(),
 	}
@@ -190,6 +191,13 @@
 
 func (d *Daemon) draining() bool { return d.drainDeadline.Load() != nil }
 
+// stopped reports whether the drain has ended, so that connections to callers that
+// are still open are closed.
+func (d *Daemon) stopped() bool {
+	end := d.drainDeadline.Load()
+	return end != nil && !time.Now().Before(*end)
+}
+
 // ready reports whether callers may connect to this daemon: it has a
 // configuration that was confirmed recently, and it is not draining.
 func (d *Daemon) ready() bool {
--- a/gateway/eventlog/log.go
+++ b/gateway/eventlog/log.go
@@ -25,7 +25,7 @@
 }
 
 // Request logs the outcome of a request, its reason and all attempts. Requests
-// that were not run or may have run are logged as warnings. A panic of the handler
+// that were not run, may have run or were aborted are logged as warnings. A panic of the handler
 // is logged as an event of its own.
 func (l *Log) Request(r *ingress.Record) {
 	if r.Panic != nil {
@@ -33,7 +33,8 @@
 			Bytes("stack", r.Panic.Stack).Msg("")
 	}
 	e := l.z.Info()
-	if r.Outcome == ingress.OutcomeUnknown || r.Outcome == ingress.OutcomeNotRun {
+	switch r.Outcome {
+	case ingress.OutcomeUnknown, ingress.OutcomeAborted, ingress.OutcomeNotRun:
 		e = l.z.Warn()
 	}
 	e.Str("event", "request").Str("id", r.ID).
--- a/gateway/ingress/handler.go
+++ b/gateway/ingress/handler.go
@@ -7,7 +7,8 @@
 // response with status 503, is a guarantee that the request has not run and will
 // not: no server can have received it, or each server that received it refused
 // to run it. Unknown, reported by status 502 or 504 or by an aborted response,
-// means that it may have run.
+// means that it may have run. Records distinguish the two: OutcomeUnknown and
+// OutcomeAborted.
 //
 // Handler and Server are safe for concurrent use.
 package ingress
@@ -68,6 +69,9 @@
 	// Draining reports whether the daemon is draining and, if so, how long a
 	// request that is admitted now may take.
 	Draining func() (left time.Duration, draining bool)
+	// Stopped reports whether the drain has ended, after which the daemon closes
+	// the callers' connections itself.
+	Stopped func() bool
 }
 
 // keyLeaseMargin is subtracted from the key lease. It covers the time from the
@@ -111,6 +115,9 @@
 	if abort && panicked != http.ErrAbortHandler {
 		abort = !rec.endPanicked(w, panicked)
 	}
+	if rec.Outcome == OutcomeCallerLeft && h.Stopped() {
+		rec.Outcome, rec.Reason = OutcomeAborted, ReasonDaemonStopped
+	}
 	rec.end()
 	h.Recorder.Record(rec)
 	if abort {
--- a/gateway/ingress/ingress_test.go
+++ b/gateway/ingress/ingress_test.go
@@ -185,6 +185,7 @@
 		TriggerExchange: func() {},
 		CachesKnown:     cachesKnown,
 		Draining:        func() (time.Duration, bool) { return 0, false },
+		Stopped:         func() bool { return false },
 	}
 	f.Server = httptest.NewServer(f.handler)
 	t.Cleanup(f.Close)
--- a/gateway/ingress/panic_test.go
+++ b/gateway/ingress/panic_test.go
@@ -130,6 +130,7 @@
 	is.True(err != nil) // the stream has no end
 	f.Close()
 	rec := f.records.all[0]
+	is.Equal(rec.Outcome, OutcomeAborted)
 	is.Equal(rec.Reason, ReasonPanic)
 	is.Equal(rec.Panic.Value, "fault in a stream")
 }
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -17,7 +17,8 @@
 const (
 	OutcomeAnswered   Outcome = "answered" // the complete response of a backend server was forwarded
 	OutcomeNotRun     Outcome = "not_run"  // no server has run or will run it
-	OutcomeUnknown    Outcome = "unknown"  // a server may have run it
+	OutcomeUnknown    Outcome = "unknown"  // a server may have run it; the caller received 502 or 504
+	OutcomeAborted    Outcome = "aborted"  // a server may have run it; the gateway closed the caller's connection before the response was complete
 	OutcomeRefused    Outcome = "refused"  // invalid or not permitted; a retry doesn't help
 	OutcomeCallerLeft Outcome = "left"     // the caller closed its connection
 )
@@ -48,7 +49,8 @@
 	ReasonResponseUnsigned Reason = "answer_unsigned"
 	ReasonServerError      Reason = "server_error"
 	ReasonCallerLeft       Reason = "caller_left"
-	ReasonPanic            Reason = "panic" // the handler panicked
+	ReasonPanic            Reason = "panic"          // the handler panicked
+	ReasonDaemonStopped    Reason = "daemon_stopped" // the drain ended before the request did
 )
 
 // Attempt describes one attempt to have a backend server run a request.
@@ -110,7 +112,7 @@
 		r.Attempts[n-1].Reason = ReasonPanic
 	}
 	if r.Status != 0 {
-		r.Outcome, r.Reason = OutcomeUnknown, ReasonPanic
+		r.Outcome, r.Reason = OutcomeAborted, ReasonPanic
 		return false
 	}
 	clear(w.Header()) // may hold a part of a server's header
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -298,6 +298,6 @@
 // abortResponse aborts a response that has been sent in part, so that the caller
 // can't mistake it for a complete one.
 func (q *request) abortResponse(reason Reason) {
-	q.rec.Outcome, q.rec.Reason = OutcomeUnknown, reason
+	q.rec.Outcome, q.rec.Reason = OutcomeAborted, reason
 	panic(http.ErrAbortHandler)
 }
