ingress: bound the memory of request bodies

What callers could see: the process is killed for its memory, and with it every request that it had accepted.

Cause: a body is read to memory, so that it can be sent more than once, and its size is allocated when the header has come. Nothing bounded the total: with a limit of 4 MiB a body, 46 callers fill the 184 MB of a small VM, of the 3,900 connections that it can have.

Ruled out as the cause of a loss that was seen: the callers of the known deployments send short bodies.

Change: bodies may take 15 % of the VM's memory in all, which is twice that with the copy that is being sent. One that does not fit is rejected at once, as not run, with Retry-After. The first 4 KiB of each body are not counted, so that a few large bodies do not cause the rejection of small requests; their total is bounded by the number of connections.

--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -64,6 +64,9 @@
 	// memoryLimitRatio is the part of Settings.MemoryBytes that is set as the soft
 	// memory limit of the Go runtime.
 	memoryLimitRatio = 0.8
+	// bodyMemoryRatio is the part of Settings.MemoryBytes for callers' request
+	// bodies. A body that is being sent takes twice its size.
+	bodyMemoryRatio = 0.15
 )
 
 // Daemon is a gateway process: it serves callers and exchanges its state with
@@ -133,7 +136,7 @@
 		CacheIndex:      d.cacheIndex,
 		FleetSize:       d.peers.FleetSize,
 		Recorder:        d,
-		Settings:        ingress.Settings{Zone: s.Zone, KeyLease: s.KeyLease},
+		Settings:        ingress.Settings{Zone: s.Zone, KeyLease: s.KeyLease, BodyBytes: int64(float64(s.MemoryBytes) * bodyMemoryRatio)},
 		Draining:        d.drainTimeLeft,
 		Stopped:         d.stopped,
 		TriggerExchange: triggerExchange,
--- a/gateway/ingress/handler.go
+++ b/gateway/ingress/handler.go
@@ -38,6 +38,9 @@
 	// KeyLease is how long API keys are accepted after the last confirmation of
 	// the configuration; 0 means without limit.
 	KeyLease time.Duration
+	// BodyBytes is the memory for the request bodies that are held at once; 0
+	// means without limit.
+	BodyBytes int64
 }
 
 // Recorder receives the record of each request when the request has ended. It
@@ -72,6 +75,8 @@
 	// Stopped reports whether the drain has ended, after which the daemon closes
 	// the callers' connections itself.
 	Stopped func() bool
+
+	bodies bodyBudget
 }
 
 // keyLeaseMargin is subtracted from the key lease. It covers the time from the
@@ -92,6 +97,7 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	rec := &Record{Start: time.Now(), Host: r.Host, Path: r.URL.Path}
+	rec.body = bodyMemory{budget: &h.bodies, limit: h.Settings.BodyBytes}
 	defer func() { h.end(w, rec, recover()) }()
 	if _, draining := h.Draining(); draining {
 		w.Header().Set("Connection", "close")
@@ -119,6 +125,7 @@
 		rec.Outcome, rec.Reason = OutcomeAborted, ReasonDaemonStopped
 	}
 	rec.end()
+	rec.body.release()
 	h.Recorder.Record(rec)
 	if abort {
 		panic(http.ErrAbortHandler)
@@ -241,19 +248,28 @@
 	}
 	var err error
 	if r.ContentLength > 0 && (limit <= 0 || r.ContentLength <= limit) {
-		q.body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(src, q.body)
+		q.body, err = readKnownLength(src, r.ContentLength, &q.rec.body)
 	} else {
-		q.body, err = io.ReadAll(src)
+		q.body, err = io.ReadAll(&countingReader{src: src, memory: &q.rec.body})
+	}
+	if err != nil {
+		return rejectBody(w, err)
 	}
+	return nil
+}
+
+// rejectBody returns the rejection of a request whose body could not be read. The
+// rest of the body is not waited for, so the connection can't be reused.
+func rejectBody(w http.ResponseWriter, err error) *rejection {
+	w.Header().Set("Connection", "close")
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return refuse(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge)
-	case err != nil:
-		return refuse(http.StatusBadRequest, ReasonBodyUnreadable)
+	case errors.Is(err, errBodyMemory):
+		return notRun(ReasonBodyMemory, overloadRetryAfter)
 	}
-	return nil
+	return refuse(http.StatusBadRequest, ReasonBodyUnreadable)
 }
 
 // keyLeaseValid reports whether the configuration was confirmed recently enough
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -37,6 +37,7 @@
 	ReasonUnknownKey       Reason = "unknown_key"
 	ReasonBodyTooLarge     Reason = "body_too_large"
 	ReasonBodyUnreadable   Reason = "body_broken"
+	ReasonBodyMemory       Reason = "body_memory" // the bodies of other requests take the memory
 	ReasonCrashesServers   Reason = "crashes_servers"
 	ReasonDraining         Reason = "daemon_draining"
 	ReasonNoServer         Reason = "no_server"
@@ -90,6 +91,8 @@
 	Writes        int    // writes of stream events to the caller
 	Resumptions   int    // attempts that resumed a stream on another server
 	Panic         *Panic // nil unless the handler panicked
+
+	body bodyMemory // released when the request ends
 }
 
 // Panic describes an unexpected panic of the handler.
