ingress: a body that is not received by the deadline is rejected

What callers could see: no answer at all to a request whose body stops on the way, also after its route's timeout. The daemon kept the connection, its memory for the body and, while it drained, the whole drain waiting for it.

Cause: the deadline of a request is applied by a context from after its body was read. Nothing limited the reading itself.

Evidence: the new test on the code before, where only the test's own limit ends the hang:

body_test.go:108: 0 != 408 body_test.go:49: no response: read tcp4 ...: i/o timeout

Change: the connection's read deadline is that of the request while its body is read, and none after that, since net/http watches the connection by a read. A body that is late gets 408, which says that the request has not run, and the connection is closed. Requests without a body do not set it.

--- a/gateway/ingress/body_test.go
+++ b/gateway/ingress/body_test.go
@@ -96,3 +96,18 @@
 		})
 	}
 }
+
+// Load pattern: callers stop within a body and keep the connection open. Guards
+// against requests that stay in flight without an answer after their deadline.
+func TestHandlerRejectsBodyThatIsNotReceivedInTime(t *testing.T) {
+	is := is.New(t)
+	b := startBackend(t, respondOK)
+	f := newFixture(t, b)
+	c := f.dialRaw(t)
+	c.send("Deadline: 50ms\r\nContent-Length: 4", "bod")
+	is.Equal(c.receive(), http.StatusRequestTimeout)
+	is.Equal(b.runs.Load(), int32(0))
+	f.Close() // waits for the handler
+	is.Equal(f.records.all[0].Outcome, OutcomeNotRun)
+	is.Equal(f.records.all[0].Reason, ReasonBodyTimeout)
+}
--- a/gateway/ingress/handler.go
+++ b/gateway/ingress/handler.go
@@ -18,6 +18,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -242,6 +243,10 @@
 	if r.ContentLength == 0 {
 		return nil
 	}
+	conn := http.NewResponseController(w)
+	// An error means that the connection has no deadlines; the request is then
+	// not limited in time before its body was read.
+	_ = conn.SetReadDeadline(q.rec.Start.Add(q.deadline))
 	src := io.Reader(r.Body)
 	if limit > 0 {
 		src = http.MaxBytesReader(w, r.Body, limit)
@@ -255,6 +260,7 @@
 	if err != nil {
 		return rejectBody(w, err)
 	}
+	_ = conn.SetReadDeadline(time.Time{})
 	return nil
 }
 
@@ -268,6 +274,8 @@
 		return refuse(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge)
 	case errors.Is(err, errBodyMemory):
 		return notRun(ReasonBodyMemory, overloadRetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return refuse(http.StatusRequestTimeout, ReasonBodyTimeout)
 	}
 	return refuse(http.StatusBadRequest, ReasonBodyUnreadable)
 }
@@ -342,7 +350,8 @@
 // write sends the rejection and sets the status, reason and outcome of the record.
 func (j *rejection) write(w http.ResponseWriter, rec *Record) {
 	rec.Status, rec.Reason = j.status, j.reason
-	if j.status == http.StatusServiceUnavailable {
+	switch j.status {
+	case http.StatusServiceUnavailable, http.StatusRequestTimeout:
 		rec.Outcome = OutcomeNotRun
 	}
 	if j.retryAfter > 0 {
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -37,7 +37,8 @@
 	ReasonUnknownKey       Reason = "unknown_key"
 	ReasonBodyTooLarge     Reason = "body_too_large"
 	ReasonBodyUnreadable   Reason = "body_broken"
-	ReasonBodyMemory       Reason = "body_memory" // the bodies of other requests take the memory
+	ReasonBodyTimeout      Reason = "body_timeout" // the deadline came before the whole body
+	ReasonBodyMemory       Reason = "body_memory"  // the bodies of other requests take the memory
 	ReasonCrashesServers   Reason = "crashes_servers"
 	ReasonDraining         Reason = "daemon_draining"
 	ReasonNoServer         Reason = "no_server"
