--- a/gateway/ingress/body_test.go
+++ b/gateway/ingress/body_test.go
@@ -35,8 +35,11 @@
 
 // send sends the head of a request with the header line that frames its body, and
 // then the bytes of the body.
-func (c *rawCaller) send(framing, body string) {
-	head := "POST /safe/x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: r1\r\nKey: key\r\n" + framing + "\r\n\r\n"
+func (c *rawCaller) send(framing, body string) { c.sendTo("/safe/x", framing, body) }
+
+// sendTo sends a request like send to a path.
+func (c *rawCaller) sendTo(path, framing, body string) {
+	head := "POST " + path + " HTTP/1.1\r\nHost: 127.0.0.1\r\nId: r1\r\nKey: key\r\n" + framing + "\r\n\r\n"
 	if _, err := io.WriteString(c.conn, head+body); err != nil {
 		c.t.Fatal(err)
 	}
--- a/gateway/ingress/ingress_test.go
+++ b/gateway/ingress/ingress_test.go
@@ -131,6 +131,16 @@
 	r.all = append(r.all, *rec)
 }
 
+// first returns the first record; nil if no request has ended.
+func (r *records) first() *Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.all) == 0 {
+		return nil
+	}
+	return &r.all[0]
+}
+
 type fixture struct {
 	*httptest.Server
 	handler     *Handler
