cassialatchd: the process goes on when the reader of its log is gone

What callers could see: all connections of a daemon closed without an answer, and again after each start, once the collector of its log has ended.

Evidence: the new test, which starts a daemon whose standard output has no reader, on the code before:

log_test.go:28: timed out waiting for: entry-0 serves --- FAIL: TestDaemon_GoesOnWithoutLogReader (61.12s)

The write fails with an error, which zerolog prints to standard error.

--- a/cassialatchd/main.go
+++ b/cassialatchd/main.go
@@ -65,6 +65,7 @@
 // serve runs the daemon until it receives SIGTERM or an interrupt, and returns the
 // exit code.
 func serve(settings *setting.Settings, stdout io.Writer) int {
+	signal.Ignore(syscall.SIGPIPE) // a write to standard output whose reader is gone would end the process
 	log := newLogger(settings.Log, stdout)
 	n, err := node.New(node.Options{Settings: settings, Version: version, Log: log})
 	if err != nil {
