daemon: a listener that fails is opened again

What callers could see: new connections refused by a daemon that is ready and in the address lists, until its process is started again.

Cause: net/http retries an accept that fails for lack of descriptors, and ends for any other error, such as those of the network that Linux passes on from a new connection. The daemon logged listener_failed and went on without listening.

Not shown: that an accept has failed so on a deployment; listener_failed would be in the log.

Connections that are open are not affected.

--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -276,7 +276,7 @@
 	if err != nil {
 		return err
 	}
-	go d.serve(func() error { return d.frontend.Serve(listener) })
+	go d.serve(listener, d.frontend.Serve)
 	return nil
 }
 
@@ -289,13 +289,33 @@
 	}
 	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	d.auxServers = append(d.auxServers, server)
-	go d.serve(func() error { return server.Serve(listener) })
+	go d.serve(listener, server.Serve)
 	return nil
 }
 
-// serve runs a server until it is closed and logs any other reason for its end.
-func (d *Daemon) serve(run func() error) {
-	if err := run(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+// serve runs a server, whose Serve method is run, until it is closed. If the
+// listener fails, it listens on the same address again: a daemon without a
+// listener would be ready for callers that it does not accept.
+func (d *Daemon) serve(l net.Listener, run func(net.Listener) error) {
+	for {
+		err := run(l) // closes the listener
+		if errors.Is(err, http.ErrServerClosed) {
+			return
+		}
+		d.log.Failure("listener_failed", err)
+		l = d.listenAgain(l.Addr().String())
+	}
+}
+
+// listenAgain listens on an address. It tries until it succeeds.
+func (d *Daemon) listenAgain(address string) net.Listener {
+	const interval = 100 * time.Millisecond
+	for {
+		time.Sleep(interval)
+		l, err := net.Listen("tcp4", address)
+		if err == nil {
+			return l
+		}
 		d.log.Failure("listener_failed", err)
 	}
 }
