--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -15,8 +15,10 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"cassialatch.dev/gateway/boottime"
@@ -62,6 +64,9 @@
 	// memoryLimitRatio is the part of Settings.MemoryBytes that is set as the soft
 	// memory limit of the Go runtime.
 	memoryLimitRatio = 0.8
+	// bodyMemoryRatio is the part of Settings.MemoryBytes for callers' request
+	// bodies. A body that is being sent takes twice its size.
+	bodyMemoryRatio = 0.15
 )
 
 // Daemon is a gateway process: it serves callers and exchanges its state with
@@ -92,8 +97,10 @@
 }
 
 // New returns a daemon that does not listen or connect before Run. It sets the
-// garbage collector's target and the memory limit of the process.
+// garbage collector's target and the memory limit of the process, and ignores
+// SIGPIPE.
 func New(s Settings, a Adapter) *Daemon {
+	signal.Ignore(syscall.SIGPIPE) // a write to standard output whose reader is gone would end the process
 	debug.SetGCPercent(gcPercent)
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryLimitRatio))
@@ -129,7 +136,7 @@
 		CacheIndex:      d.cacheIndex,
 		FleetSize:       d.peers.FleetSize,
 		Recorder:        d,
-		Settings:        ingress.Settings{Zone: s.Zone, KeyLease: s.KeyLease},
+		Settings:        ingress.Settings{Zone: s.Zone, KeyLease: s.KeyLease, BodyBytes: int64(float64(s.MemoryBytes) * bodyMemoryRatio)},
 		Draining:        d.drainTimeLeft,
 		TriggerExchange: triggerExchange,
 		CachesKnown:     d.scanner.Done(),
@@ -261,7 +268,7 @@
 	if err != nil {
 		return err
 	}
-	go d.serve(func() error { return d.frontend.Serve(listener) })
+	go d.serve(listener, d.frontend.Serve)
 	return nil
 }
 
@@ -274,13 +281,33 @@
 	}
 	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	d.auxServers = append(d.auxServers, server)
-	go d.serve(func() error { return server.Serve(listener) })
+	go d.serve(listener, server.Serve)
 	return nil
 }
 
-// serve runs a server until it is closed and logs any other reason for its end.
-func (d *Daemon) serve(run func() error) {
-	if err := run(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+// serve runs a server, whose Serve method is run, until it is closed. If the
+// listener fails, it listens on the same address again: a daemon without a
+// listener would be ready for callers that it does not accept.
+func (d *Daemon) serve(l net.Listener, run func(net.Listener) error) {
+	for {
+		err := run(l) // closes the listener
+		if errors.Is(err, http.ErrServerClosed) {
+			return
+		}
+		d.log.Failure("listener_failed", err)
+		l = d.listenAgain(l.Addr().String())
+	}
+}
+
+// listenAgain listens on an address. It tries until it succeeds.
+func (d *Daemon) listenAgain(address string) net.Listener {
+	const interval = 100 * time.Millisecond
+	for {
+		time.Sleep(interval)
+		l, err := net.Listen("tcp4", address)
+		if err == nil {
+			return l
+		}
 		d.log.Failure("listener_failed", err)
 	}
 }
--- a/gateway/daemon/daemon_test.go
+++ b/gateway/daemon/daemon_test.go
@@ -55,7 +55,7 @@
 	})
 	servers := []catalog.Server{{ID: "b1", Service: "s", Address: backend}}
 	d.catalog.Adopt(catalog.State{Revision: 1, Servers: servers}, table, boottime.Now())
-	go d.serve(func() error { return d.frontend.Serve(l) })
+	go d.serve(l, d.frontend.Serve)
 	return d
 }
 
@@ -138,18 +138,23 @@
 	is := is.New(t)
 	event := "id: 1\ndata: 1\n\n"
 	head := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-	server, received := startServer(t, fmt.Sprintf("%s%x\r\n%s\r\n", head, len(event), event))
+	server, _ := startServer(t, fmt.Sprintf("%s%x\r\n%s\r\n", head, len(event), event))
 	l := listen(t)
 	d := newDaemon(t, shortGrace, l, server)
-	var wg sync.WaitGroup
-	wg.Go(func() {
-		<-received
-		d.drain()
-	})
-	_, body, err := exchange(t, l.Addr().String(), "/stream/x")
-	wg.Wait()
+	c, err := net.Dial("tcp4", l.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	_, err = io.WriteString(c, "GET /stream/x HTTP/1.1\r\nHost: gateway\r\n\r\n")
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	first := make([]byte, len(event))
+	_, err = io.ReadFull(resp.Body, first)
+	is.NoErr(err)
+	is.Equal(string(first), event)
+	d.drain()
+	_, err = io.ReadAll(resp.Body)
 	is.Equal(err, io.ErrUnexpectedEOF)
-	is.Equal(body, event)
 }
 
 // pipeListener accepts the server ends of in-memory connections.
--- a/gateway/ingress/handler.go
+++ b/gateway/ingress/handler.go
@@ -7,7 +7,8 @@
 // response with status 503, is a guarantee that the request has not run and will
 // not: no server can have received it, or each server that received it refused
 // to run it. Unknown, reported by status 502 or 504 or by an aborted response,
-// means that it may have run.
+// means that it may have run. Records distinguish the two: OutcomeUnknown and
+// OutcomeAborted.
 //
 // Handler and Server are safe for concurrent use.
 package ingress
@@ -17,6 +18,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -37,6 +39,9 @@
 	// KeyLease is how long API keys are accepted after the last confirmation of
 	// the configuration; 0 means without limit.
 	KeyLease time.Duration
+	// BodyBytes is the memory for the request bodies that are held at once; 0
+	// means without limit.
+	BodyBytes int64
 }
 
 // Recorder receives the record of each request when the request has ended. It
@@ -68,20 +73,45 @@
 	// Draining reports whether the daemon is draining and, if so, how long a
 	// request that is admitted now may take.
 	Draining func() (left time.Duration, draining bool)
+
+	bodies bodyBudget
 }
 
 // keyLeaseMargin is subtracted from the key lease. It covers the time from the
 // last check of the lease until the request has reached the server.
 const keyLeaseMargin = 400 * time.Millisecond
 
+// writeGrace is how long after the deadline of a request the rest of its response
+// may be written to a caller that reads slowly.
+const writeGrace = time.Second
+
+// limitWrites limits the time of writes to the caller from when the context ends.
+// The limit is not set before, since after a suspend of the VM the response still
+// has to be written. The returned function ends the watch of the context; net/http
+// then removes the limit when the response has been sent.
+func limitWrites(ctx context.Context, w http.ResponseWriter) (stop func()) {
+	limited := make(chan struct{})
+	stopWatch := context.AfterFunc(ctx, func() {
+		defer close(limited)
+		// An error means that the connection has no deadlines, so that a caller
+		// that does not read is waited for.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeGrace))
+	})
+	return func() {
+		if !stopWatch() {
+			<-limited // otherwise the limit may apply to the next response on the connection
+		}
+	}
+}
+
 // defaultDeadline applies if neither the caller nor the route sets a timeout.
 const defaultDeadline = 60 * time.Second
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	rec := &Record{Start: time.Now(), Host: r.Host, Path: r.URL.Path}
-	defer h.Recorder.Record(rec)
-	defer rec.end()
+	rec.body = bodyMemory{budget: &h.bodies, limit: h.Settings.BodyBytes}
+	defer func() { h.end(w, rec, recover()) }()
 	q, reject := h.admit(w, r, rec)
 	w = &drainWriter{ResponseWriter: w, draining: h.draining}
 	if reject != nil {
@@ -90,6 +120,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), rec.Start.Add(q.deadline))
 	defer cancel()
+	defer limitWrites(ctx, w)()
 	q.run(ctx, w)
 }
 
@@ -99,6 +130,23 @@
 	return draining
 }
 
+// end passes the record of a request to the recorder. panicked is the value that
+// was recovered from a panic of the handler; nil if there was none. It panics
+// with http.ErrAbortHandler if the connection must be closed, since the caller
+// would otherwise take the response for complete.
+func (h *Handler) end(w http.ResponseWriter, rec *Record, panicked any) {
+	abort := panicked != nil
+	if abort && panicked != http.ErrAbortHandler {
+		abort = !rec.endPanicked(w, panicked)
+	}
+	rec.end()
+	rec.body.release()
+	h.Recorder.Record(rec)
+	if abort {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // request holds the state of one request while the handler serves it.
 type request struct {
 	h           *Handler
@@ -203,25 +251,41 @@
 	if r.ContentLength == 0 {
 		return nil
 	}
+	conn := http.NewResponseController(w)
+	// An error means that the connection has no deadlines; the request is then
+	// not limited in time before its body was read.
+	_ = conn.SetReadDeadline(q.rec.Start.Add(q.deadline))
 	src := io.Reader(r.Body)
 	if limit > 0 {
 		src = http.MaxBytesReader(w, r.Body, limit)
 	}
 	var err error
 	if r.ContentLength > 0 && (limit <= 0 || r.ContentLength <= limit) {
-		q.body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(src, q.body)
+		q.body, err = readKnownLength(src, r.ContentLength, &q.rec.body)
 	} else {
-		q.body, err = io.ReadAll(src)
+		q.body, err = io.ReadAll(&countingReader{src: src, memory: &q.rec.body})
+	}
+	if err != nil {
+		return rejectBody(w, err)
 	}
+	_ = conn.SetReadDeadline(time.Time{})
+	return nil
+}
+
+// rejectBody returns the rejection of a request whose body could not be read. The
+// rest of the body is not waited for, so the connection can't be reused.
+func rejectBody(w http.ResponseWriter, err error) *rejection {
+	w.Header().Set("Connection", "close")
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return refuse(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge)
-	case err != nil:
-		return refuse(http.StatusBadRequest, ReasonBodyUnreadable)
+	case errors.Is(err, errBodyMemory):
+		return notRun(ReasonBodyMemory, overloadRetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return refuse(http.StatusRequestTimeout, ReasonBodyTimeout)
 	}
-	return nil
+	return refuse(http.StatusBadRequest, ReasonBodyUnreadable)
 }
 
 // keyLeaseValid reports whether the configuration was confirmed recently enough
@@ -294,7 +358,8 @@
 // write sends the rejection and sets the status, reason and outcome of the record.
 func (j *rejection) write(w http.ResponseWriter, rec *Record) {
 	rec.Status, rec.Reason = j.status, j.reason
-	if j.status == http.StatusServiceUnavailable {
+	switch j.status {
+	case http.StatusServiceUnavailable, http.StatusRequestTimeout:
 		rec.Outcome = OutcomeNotRun
 	}
 	if j.retryAfter > 0 {
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -1,6 +1,9 @@
 package ingress
 
 import (
+	"fmt"
+	"net/http"
+	"runtime/debug"
 	"time"
 
 	"cassialatch.dev/gateway/cacheindex"
@@ -14,7 +17,8 @@
 const (
 	OutcomeAnswered   Outcome = "answered" // the complete response of a backend server was forwarded
 	OutcomeNotRun     Outcome = "not_run"  // no server has run or will run it
-	OutcomeUnknown    Outcome = "unknown"  // a server may have run it
+	OutcomeUnknown    Outcome = "unknown"  // a server may have run it; the caller received 502 or 504
+	OutcomeAborted    Outcome = "aborted"  // a server may have run it; the gateway closed the caller's connection before the response was complete
 	OutcomeRefused    Outcome = "refused"  // invalid or not permitted; a retry doesn't help
 	OutcomeCallerLeft Outcome = "left"     // the caller closed its connection
 )
@@ -33,9 +37,11 @@
 	ReasonUnknownKey       Reason = "unknown_key"
 	ReasonBodyTooLarge     Reason = "body_too_large"
 	ReasonBodyUnreadable   Reason = "body_broken"
+	ReasonBodyTimeout      Reason = "body_timeout" // the deadline came before the whole body
+	ReasonBodyMemory       Reason = "body_memory"  // the bodies of other requests take the memory
 	ReasonCrashesServers   Reason = "crashes_servers"
 	ReasonDraining         Reason = "daemon_draining"
-	ReasonStopped          Reason = "daemon_stopped"
+	ReasonStopped          Reason = "daemon_stopped" // the drain ended before the request did
 	ReasonNoServer         Reason = "no_server"
 	ReasonRetryBudget      Reason = "retry_budget_spent"
 	ReasonDeadline         Reason = "deadline"
@@ -43,10 +49,10 @@
 	ReasonServerRefused    Reason = "server_refused"
 	ReasonMisdirected      Reason = "another_incarnation"
 	ReasonConnectionBroken Reason = "connection_broken"
-	ReasonServerSilent     Reason = "server_silent"
 	ReasonResponseUnsigned Reason = "answer_unsigned"
 	ReasonServerError      Reason = "server_error"
 	ReasonCallerLeft       Reason = "caller_left"
+	ReasonPanic            Reason = "panic" // the handler panicked
 )
 
 // Attempt describes one attempt to have a backend server run a request.
@@ -83,8 +89,54 @@
 	Reason        Reason
 	FirstByte     time.Duration // time until the first byte of the response was forwarded
 	Duration      time.Duration
-	Writes        int // writes of stream events to the caller
-	Resumptions   int // attempts that resumed a stream on another server
+	Writes        int    // writes of stream events to the caller
+	Resumptions   int    // attempts that resumed a stream on another server
+	Panic         *Panic // nil unless the handler panicked
+
+	body bodyMemory // released when the request ends
+}
+
+// Panic describes an unexpected panic of the handler.
+type Panic struct {
+	Value string // what the handler panicked with
+	Stack []byte // of the goroutine, at most maxStackBytes
+}
+
+const maxStackBytes = 8 << 10
+
+// endPanicked ends a request whose handler has panicked with the given value. It
+// must be called by the deferred function that recovered the value. If no
+// response has begun, it sends one which says whether the request may have run;
+// otherwise it returns false, and the connection must be closed.
+func (r *Record) endPanicked(w http.ResponseWriter, value any) bool {
+	stack := debug.Stack()
+	r.Panic = &Panic{Value: fmt.Sprint(value), Stack: stack[:min(len(stack), maxStackBytes)]}
+	mayHaveRun := r.mayHaveRun()
+	if n := len(r.Attempts); n > 0 && r.Attempts[n-1].Reason == ReasonNone {
+		r.Attempts[n-1].Reason = ReasonPanic
+	}
+	if r.Status != 0 {
+		r.Outcome, r.Reason = OutcomeAborted, ReasonPanic
+		return false
+	}
+	clear(w.Header()) // may hold a part of a server's header
+	w.Header().Set("Connection", "close")
+	if mayHaveRun {
+		writeUnknown(w, r, ReasonPanic)
+		return true
+	}
+	notRun(ReasonPanic, overloadRetryAfter).write(w, r)
+	return true
+}
+
+// mayHaveRun reports whether a server may have run the request.
+func (r *Record) mayHaveRun() bool {
+	for i := range r.Attempts {
+		if r.Attempts[i].mayHaveRun() {
+			return true
+		}
+	}
+	return false
 }
 
 // end sets the duration, and the outcome if it is not set yet.
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -147,6 +147,7 @@
 	if err != nil {
 		return q.handleSendError(ctx, s, a, err)
 	}
+	defer resp.Abort() // does nothing unless forwarding panics
 	a.Status = resp.Status
 	switch {
 	case resp.NotExecuted:
@@ -253,7 +254,7 @@
 	case !q.mayHaveRun:
 		notRun(reason, retryAfter).write(w, q.rec)
 	default:
-		q.writeUnknown(w, reason)
+		writeUnknown(w, q.rec, reason)
 	}
 }
 
@@ -266,13 +267,14 @@
 	reject.write(w, q.rec)
 }
 
-// writeUnknown sends a response which says that the request may have run.
-func (q *request) writeUnknown(w http.ResponseWriter, reason Reason) {
+// writeUnknown sends a response which says that the request may have run, and
+// sets the status, reason and outcome of the record.
+func writeUnknown(w http.ResponseWriter, rec *Record, reason Reason) {
 	status := http.StatusBadGateway
 	if reason == ReasonDeadline {
 		status = http.StatusGatewayTimeout
 	}
-	q.rec.Status, q.rec.Reason, q.rec.Outcome = status, reason, OutcomeUnknown
+	rec.Status, rec.Reason, rec.Outcome = status, reason, OutcomeUnknown
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
 }
@@ -307,6 +309,6 @@
 // abortResponse aborts a response that has been sent in part, so that the caller
 // can't mistake it for a complete one.
 func (q *request) abortResponse(reason Reason) {
-	q.rec.Outcome, q.rec.Reason = OutcomeUnknown, reason
+	q.rec.Outcome, q.rec.Reason = OutcomeAborted, reason
 	panic(http.ErrAbortHandler)
 }
