upstream: bound the size of a response head

What callers could see: a server in trouble that answers one request with a head without end made the process allocate without limit until the request's deadline. A process over its memory is killed, and every request that it had accepted is lost with it.

Cause: http.ReadResponse has no limit of its own; it relies on the reader that it is given, and ours read from the connection.

Ruled out: that such a request outlives its deadline or keeps its connection.

Change: a connection counts what is read for a head and fails with ErrHeadTooLarge after 64 KiB, the limit that callers' heads have. The limit does not apply to bodies (TestSend_AcceptsLargeHeadAndBody).

--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -3,7 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"math"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -22,11 +25,18 @@
 	readBufferSize    = 2 << 10
 )
 
+// maxHeadBytes is the maximum size of a response head.
+const maxHeadBytes = 64 << 10
+
+// ErrHeadTooLarge is the cause of an Error if the response head is too large.
+var ErrHeadTooLarge = errors.New("upstream: response head exceeds the size limit")
+
 // conn is one connection to a backend server.
 type conn struct {
 	tcp       *net.TCPConn
-	br        *bufio.Reader
-	idleUntil time.Time // not reused from then on
+	br        *bufio.Reader // reads from Read, which applies readLimit
+	readLimit int64         // bytes that Read may still return
+	idleUntil time.Time     // not reused from then on
 }
 
 // dial opens a connection with TCP keep-alive and TCP_USER_TIMEOUT set.
@@ -46,7 +56,35 @@
 		return nil, err
 	}
 	tcp := c.(*net.TCPConn)
-	return &conn{tcp: tcp, br: bufio.NewReaderSize(tcp, readBufferSize)}, nil
+	conn := &conn{tcp: tcp, readLimit: math.MaxInt64}
+	conn.br = bufio.NewReaderSize(conn, readBufferSize)
+	return conn, nil
+}
+
+// Read implements io.Reader. It returns ErrHeadTooLarge once the read limit is
+// used up.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.readLimit <= 0 {
+		return 0, ErrHeadTooLarge
+	}
+	if int64(len(p)) > c.readLimit {
+		p = p[:c.readLimit]
+	}
+	n, err := c.tcp.Read(p)
+	c.readLimit -= int64(n)
+	return n, err
+}
+
+// readResponse reads a response head of at most maxHeadBytes, beside what is in
+// the buffer already. The limit does not apply to the body.
+func (c *conn) readResponse(method string) (*http.Response, error) {
+	c.readLimit = maxHeadBytes
+	defer func() { c.readLimit = math.MaxInt64 }()
+	resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
+	if err != nil && c.readLimit <= 0 {
+		return nil, ErrHeadTooLarge // net/http may report the line that was cut instead
+	}
+	return resp, err
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT. It implements net.Dialer.Control.
--- /dev/null
+++ b/gateway/upstream/endless_test.go
@@ -0,0 +1,166 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cassialatch.dev/gateway/catalog"
+)
+
+const (
+	// floodBytes is how much a flooding server sends before it falls silent. It
+	// is far above every limit, and low enough for a test without limits to end.
+	floodBytes = 32 << 20
+	// maxFloodAlloc is the most that may be allocated while a flood is rejected.
+	// A head of maxHeadBytes is copied a few times as its buffer grows, and each
+	// of its lines takes an entry in a map.
+	maxFloodAlloc = 8 << 20
+	// hangTimeout ends a test that would otherwise not end.
+	hangTimeout = 5 * time.Second
+)
+
+// flood starts a server that responds to each request with start and then
+// repeats block. It keeps the connection open until the pool closes it and then
+// closes the returned channel.
+func flood(t *testing.T, start, block string) (s *catalog.Server, closed chan struct{}) {
+	closed = make(chan struct{})
+	blocks := bytes.Repeat([]byte(block), max(64<<10/len(block), 1))
+	s, _ = listen(t, func(c net.Conn, br *bufio.Reader) {
+		defer close(closed)
+		defer c.Close()
+		if _, err := http.ReadRequest(br); err != nil {
+			return
+		}
+		// The writes fail once the pool has closed the connection.
+		_, err := io.WriteString(c, start)
+		for n := 0; err == nil && n < floodBytes; n += len(blocks) {
+			_, err = c.Write(blocks)
+		}
+		_, _ = br.ReadByte()
+	})
+	return s, closed
+}
+
+// allocated returns the bytes that f allocates on the heap.
+func allocated(f func()) uint64 {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	f()
+	runtime.ReadMemStats(&after)
+	return after.TotalAlloc - before.TotalAlloc
+}
+
+// headerLines returns n header lines with different names.
+func headerLines(n int) string {
+	var b strings.Builder
+	for i := range n {
+		fmt.Fprintf(&b, "X-%d: a\r\n", i)
+	}
+	return b.String()
+}
+
+// sendToFlood sends a request to a server that floods the connection and checks
+// that the flood is cut off: long before the request ends, in little memory, and
+// with the connection closed and its slot released. It returns the error of Send.
+func sendToFlood(t *testing.T, start, block string) error {
+	is := is.New(t)
+	s, closed := flood(t, start, block)
+	p := NewPool(dialect{})
+	ctx, cancel := context.WithTimeout(context.Background(), hangTimeout)
+	defer cancel()
+	var err error
+	bytes := allocated(func() { _, err = p.Send(ctx, s, request("1", "")) })
+	t.Logf("%d KiB allocated", bytes>>10)
+	is.True(err != nil)            // a flood is no response
+	is.Equal(p.OpenConns(), 0)     // the slot is released
+	is.True(bytes < maxFloodAlloc) // memory is bounded
+	is.NoErr(ctx.Err())            // the flood is cut off by its size
+	var sendErr *Error
+	is.True(errors.As(err, &sendErr))
+	is.True(sendErr.Sent) // the server may have run the request
+	<-closed
+	return err
+}
+
+// Guards against a response head without end, which was read into memory until
+// the request ended.
+func TestSend_RejectsEndlessHead(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nId: 1\r\n"
+	for name, c := range map[string]struct{ start, block string }{
+		"status line":       {"HTTP/1.1 200 ", "a"},
+		"header line":       {ok + "X: ", "a"},
+		"header lines":      {ok, headerLines(4096)},
+		"continuation line": {ok + "X: a\r\n", " "},
+		"continuation":      {ok + "X: a\r\n", " a\r\n"},
+		"not HTTP":          {"", "\x00\x01\x02"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			err := sendToFlood(t, c.start, c.block)
+			is.True(errors.Is(err, ErrHeadTooLarge))
+		})
+	}
+}
+
+// A head below the limit is delivered, and the limit does not apply to the body.
+func TestSend_AcceptsLargeHeadAndBody(t *testing.T) {
+	is := is.New(t)
+	value, payload := strings.Repeat("v", maxHeadBytes*3/4), strings.Repeat("p", 4*maxHeadBytes)
+	s, conns := listen(t, func(c net.Conn, br *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX: %s\r\nContent-Length: %d\r\n\r\n%s", value, len(payload), payload)
+		}
+	})
+	p := NewPool(dialect{})
+	for range 3 {
+		resp, err := p.Send(context.Background(), s, request("1", ""))
+		is.NoErr(err)
+		is.Equal(resp.Header.Get("X"), value)
+		body, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		is.Equal(string(body), payload)
+		resp.Release()
+	}
+	is.Equal(conns.Load(), int32(1))
+}
+
+// A head that arrives slowly and never ends is given up when the request ends.
+func TestSend_EndsSlowEndlessHeadWithContext(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{})
+	s, _ := listen(t, func(c net.Conn, br *bufio.Reader) {
+		defer close(closed)
+		if _, err := http.ReadRequest(br); err != nil {
+			return
+		}
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nX: ")
+		for err == nil {
+			time.Sleep(time.Millisecond)
+			_, err = io.WriteString(c, "a")
+		}
+	})
+	p := NewPool(dialect{})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := p.Send(ctx, s, request("1", ""))
+	var sendErr *Error
+	is.True(errors.As(err, &sendErr))
+	is.True(sendErr.Sent)
+	is.Equal(p.OpenConns(), 0)
+	<-closed
+}
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -164,7 +164,7 @@
 // responses and responses to other requests.
 func (r *Response) readHead(req *Request) error {
 	for skipped := 0; ; skipped++ {
-		resp, err := http.ReadResponse(r.conn.br, &http.Request{Method: req.Method})
+		resp, err := r.conn.readResponse(req.Method)
 		if err != nil {
 			return err
 		}
