upstream: bound the text of an error

What callers could see: nothing directly. A server that sends bytes that are no HTTP makes net/http quote the whole line in its error, which becomes the attempt's detail in the log. 512 such lines may wait in the queue of the log: with heads of 64 KiB, 64 MiB in a process that may have 184 MB.

Evidence: TestSend_BoundsErrorText against the code before, 32 KiB of zero bytes sent: "131119 bytes of text, not true: len(err.Error()) < 2*maxErrorText". Now 280 bytes.

Change: Error.Error quotes at most 256 bytes of the cause. Unwrap still returns the cause as it is.

--- a/gateway/upstream/endless_test.go
+++ b/gateway/upstream/endless_test.go
@@ -164,3 +164,19 @@
 	is.Equal(p.OpenConns(), 0)
 	<-closed
 }
+
+// Guards against the text of an error that quotes what the server sent, which
+// made a log line as long as the head.
+func TestSend_BoundsErrorText(t *testing.T) {
+	is := is.New(t)
+	s, _ := listen(t, func(c net.Conn, br *bufio.Reader) {
+		if _, err := http.ReadRequest(br); err != nil {
+			return
+		}
+		fmt.Fprintf(c, "%s\r\n\r\n", strings.Repeat("\x00", maxHeadBytes/2))
+	})
+	_, err := NewPool(dialect{}).Send(context.Background(), s, request("1", ""))
+	is.True(err != nil)
+	t.Logf("%d bytes of text", len(err.Error()))
+	is.True(len(err.Error()) < 2*maxErrorText)
+}
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -19,6 +19,10 @@
 // connections to the server.
 var ErrTooManyConns = errors.New("upstream: connection limit of the server reached")
 
+// maxErrorText limits the text of a cause in bytes, since the errors of net/http
+// quote what the server sent.
+const maxErrorText = 256
+
 // Error is returned by Send when there is no usable response.
 type Error struct {
 	Sent  bool // the server may have received some of the request
@@ -27,10 +31,14 @@
 
 // Error implements error.
 func (e *Error) Error() string {
+	cause := e.Cause.Error()
+	if len(cause) > maxErrorText {
+		cause = cause[:maxErrorText] + "..."
+	}
 	if e.Sent {
-		return "upstream: no answer: " + e.Cause.Error()
+		return "upstream: no answer: " + cause
 	}
-	return "upstream: not sent: " + e.Cause.Error()
+	return "upstream: not sent: " + cause
 }
 
 // Unwrap returns the cause.
