upstream: give informational responses a bound of their own

What callers could see: a good response failed (502 for an unsafe request) when the server sent 4 informational (1xx) responses before a response to another request; and a server that sends informational responses without end, or responses to other requests after 5 informational ones, kept the request until its deadline and made the process parse without end.

Cause: informational responses advanced the count of skipped responses, whose limit was compared for equality and only at responses to other requests. Four of them used the limit up, five stepped over it.

Evidence, against the code before:

TestSend_SkipsInformationalAndMismatchedResponses: err: upstream: no answer: upstream: 4 responses on the connection belong to other requests TestSend_RejectsEndlessInformationalResponses: small: 651734 KiB allocated, large: 127578 KiB allocated, not true: bytes < maxFloodAlloc TestSend_RejectsEndlessMismatchedResponsesAfterInformational: 1057710 KiB allocated, not true: bytes < maxFloodAlloc

Change: the head of a final response is read together with the informational ones before it, and all of them share the 64 KiB of a head. Their number needs no limit then, and only responses to other requests count as skipped. This is also how net/http's transport bounds them.

--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -25,7 +25,8 @@
 	readBufferSize    = 2 << 10
 )
 
-// maxHeadBytes is the maximum size of a response head.
+// maxHeadBytes is the maximum size of a response head with the informational
+// responses before it.
 const maxHeadBytes = 64 << 10
 
 // ErrHeadTooLarge is the cause of an Error if the response head is too large.
@@ -75,16 +76,23 @@
 	return n, err
 }
 
-// readResponse reads a response head of at most maxHeadBytes, beside what is in
+// readResponse reads the head of the next final response and skips informational
+// (1xx) responses before it. All of these may have maxHeadBytes, beside what is in
 // the buffer already. The limit does not apply to the body.
 func (c *conn) readResponse(method string) (*http.Response, error) {
 	c.readLimit = maxHeadBytes
 	defer func() { c.readLimit = math.MaxInt64 }()
-	resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
-	if err != nil && c.readLimit <= 0 {
-		return nil, ErrHeadTooLarge // net/http may report the line that was cut instead
+	for {
+		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
+		switch {
+		case err != nil && c.readLimit <= 0:
+			return nil, ErrHeadTooLarge // net/http may report the line that was cut instead
+		case err != nil:
+			return nil, err
+		case resp.StatusCode >= http.StatusOK:
+			return resp, nil
+		}
 	}
-	return resp, err
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT. It implements net.Dialer.Control.
--- a/gateway/upstream/endless_test.go
+++ b/gateway/upstream/endless_test.go
@@ -180,3 +180,55 @@
 	t.Logf("%d bytes of text", len(err.Error()))
 	is.True(len(err.Error()) < 2*maxErrorText)
 }
+
+// Guards against informational responses without end: they have no bound in
+// number, and each may be as large as a head.
+func TestSend_RejectsEndlessInformationalResponses(t *testing.T) {
+	for name, block := range map[string]string{
+		"small": "HTTP/1.1 102 Processing\r\n\r\n",
+		"large": "HTTP/1.1 103 Early Hints\r\nX: " + strings.Repeat("a", maxHeadBytes/8) + "\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			err := sendToFlood(t, "", block)
+			is.True(errors.Is(err, ErrHeadTooLarge))
+		})
+	}
+}
+
+// Guards against informational responses that use up the allowance for responses
+// to other requests, so that a good response fails.
+func TestSend_SkipsInformationalAndMismatchedResponses(t *testing.T) {
+	is := is.New(t)
+	s, conns := listen(t, func(c net.Conn, br *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			for range maxMismatched {
+				fmt.Fprint(c, "HTTP/1.1 102 Processing\r\n\r\n")
+			}
+			for range maxMismatched {
+				fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nstray")
+			}
+			fmt.Fprint(c, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nmine")
+		}
+	})
+	p := NewPool(dialect{})
+	for range 2 {
+		body, err := exchange(p, s, request("1", ""))
+		is.NoErr(err)
+		is.Equal(body, "mine")
+	}
+	is.Equal(conns.Load(), int32(1))
+}
+
+// Guards against informational responses that lift the limit on the responses to
+// other requests.
+func TestSend_RejectsEndlessMismatchedResponsesAfterInformational(t *testing.T) {
+	is := is.New(t)
+	start := strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", maxMismatched+1)
+	err := sendToFlood(t, start, "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nstray")
+	var mismatched *MismatchedResponseError
+	is.True(errors.As(err, &mismatched))
+}
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -168,17 +168,14 @@
 	return buf.Bytes(), nil
 }
 
-// readHead reads the head of the response to req. It skips informational (1xx)
-// responses and responses to other requests.
+// readHead reads the head of the response to req. It skips responses to other
+// requests.
 func (r *Response) readHead(req *Request) error {
 	for skipped := 0; ; skipped++ {
 		resp, err := r.conn.readResponse(req.Method)
 		if err != nil {
 			return err
 		}
-		if resp.StatusCode < http.StatusOK {
-			continue
-		}
 		head := r.pool.dialect.ParseResponse(resp)
 		if head.RequestID == "" || head.RequestID == req.ID {
 			r.ResponseHead, r.Header, r.Body, r.resp = head, resp.Header, resp.Body, resp
