upstream: reject a response with a status below 100 or with 101

What callers could see: a response of another request, or garbage, in place of their own. Status 000 to 099, which HTTP does not have, and 101, after which the connection no longer carries HTTP, counted as informational: they were skipped and whatever followed was taken for the response.

Evidence: TestSend_RejectsInvalidStatus against the code before, for each of 000, 099 and 101: "not true: err != nil".

Ruled out: that a server sends 101 for a reason. Upgrade is never forwarded.

Change: such a response is an InvalidStatusError; the connection is closed and the outcome is that of any broken response.

--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -89,6 +89,8 @@
 			return nil, ErrHeadTooLarge // net/http may report the line that was cut instead
 		case err != nil:
 			return nil, err
+		case resp.StatusCode < http.StatusContinue || resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, &InvalidStatusError{Status: resp.StatusCode}
 		case resp.StatusCode >= http.StatusOK:
 			return resp, nil
 		}
--- a/gateway/upstream/endless_test.go
+++ b/gateway/upstream/endless_test.go
@@ -223,6 +223,26 @@
 	is.Equal(conns.Load(), int32(1))
 }
 
+// Guards against a response with a status that HTTP does not have, or with a
+// change of protocol that was not asked for, being skipped as informational.
+func TestSend_RejectsInvalidStatus(t *testing.T) {
+	for _, status := range []string{"000", "099", "101"} {
+		t.Run(status, func(t *testing.T) {
+			is := is.New(t)
+			s, _ := listen(t, func(c net.Conn, br *bufio.Reader) {
+				if _, err := http.ReadRequest(br); err != nil {
+					return
+				}
+				fmt.Fprintf(c, "HTTP/1.1 %s Odd\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno", status)
+			})
+			p := NewPool(dialect{})
+			_, err := exchange(p, s, request("1", ""))
+			is.True(err != nil)
+			is.Equal(p.OpenConns(), 0)
+		})
+	}
+}
+
 // Guards against informational responses that lift the limit on the responses to
 // other requests.
 func TestSend_RejectsEndlessMismatchedResponsesAfterInformational(t *testing.T) {
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -53,6 +53,15 @@
 	return fmt.Sprintf("upstream: %d responses on the connection belong to other requests", e.Skipped)
 }
 
+// InvalidStatusError is returned when a response has a status that no request of
+// this package can have: below 100, or 101 (Switching Protocols).
+type InvalidStatusError struct{ Status int }
+
+// Error implements error.
+func (e *InvalidStatusError) Error() string {
+	return fmt.Sprintf("upstream: response with invalid status %d", e.Status)
+}
+
 // maxMismatched limits the responses to other requests that are skipped.
 const maxMismatched = 4
 
