upstream: give up at once after the last response of a connection

What callers could see: a request waited until its deadline, though its response could no longer come and another server could have answered. A server that responds with the ID of another request and says that it closes the connection, or gives the response no length, sends nothing after it; the body, which may never end, was read first.

Evidence: TestSend_DoesNotWaitForLastMismatchedResponse against the code before, "closing" and "no length": "not true: errors.As(err, &mismatched)", after the 5 s of the test's context (the error was that of the closed connection).

Ruled out, by tests that pass on the code before, too: - mismatched responses without end, in number or size (TestSend_RejectsEndlessMismatchedResponses): at most 5 heads and 4 bodies of 1 MiB are read, without being kept; - chunk sizes, chunk extensions and trailers without end (TestSend_RejectsEndlessChunkOverhead): net/http reads each line and the trailer section within the connection's buffer of 2 KiB and limits extensions; at most 8 KiB were allocated.

Change: the last response of a connection is not read if it belongs to another request. MismatchedResponseError counts the response that it is returned for, which it left out in one of two cases.

--- a/gateway/upstream/endless_test.go
+++ b/gateway/upstream/endless_test.go
@@ -32,11 +32,11 @@
 )
 
 // flood starts a server that responds to each request with start and then
-// repeats block. It keeps the connection open until the pool closes it and then
+// repeats block, which may be empty. It keeps the connection open until the pool closes it and then
 // closes the returned channel.
 func flood(t *testing.T, start, block string) (s *catalog.Server, closed chan struct{}) {
 	closed = make(chan struct{})
-	blocks := bytes.Repeat([]byte(block), max(64<<10/len(block), 1))
+	blocks := bytes.Repeat([]byte(block), max(64<<10/max(len(block), 1), 1))
 	s, _ = listen(t, func(c net.Conn, br *bufio.Reader) {
 		defer close(closed)
 		defer c.Close()
@@ -45,7 +45,7 @@
 		}
 		// The writes fail once the pool has closed the connection.
 		_, err := io.WriteString(c, start)
-		for n := 0; err == nil && n < floodBytes; n += len(blocks) {
+		for n := 0; err == nil && len(blocks) > 0 && n < floodBytes; n += len(blocks) {
 			_, err = c.Write(blocks)
 		}
 		_, _ = br.ReadByte()
@@ -252,3 +252,73 @@
 	var mismatched *MismatchedResponseError
 	is.True(errors.As(err, &mismatched))
 }
+
+// A response to another request is skipped up to a limit on its size and number.
+func TestSend_RejectsEndlessMismatchedResponses(t *testing.T) {
+	const other = "HTTP/1.1 200 OK\r\nId: other\r\n"
+	for name, c := range map[string]struct{ start, block string }{
+		"responses": {"", other + "Content-Length: 5\r\n\r\nstray"},
+		"body":      {other + "Content-Length: 1000000000\r\n\r\n", "a"},
+		"chunks":    {other + "Transfer-Encoding: chunked\r\n\r\n", "5\r\nstray\r\n"},
+		"no length": {other + "\r\n", "a"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			err := sendToFlood(t, c.start, c.block)
+			var mismatched *MismatchedResponseError
+			is.True(errors.As(err, &mismatched))
+		})
+	}
+}
+
+// Guards against waiting until the request ends for the end of a response to
+// another request after which the server closes the connection, so that the
+// response to the request can't follow.
+func TestSend_DoesNotWaitForLastMismatchedResponse(t *testing.T) {
+	for name, extra := range map[string]string{
+		"closing":   "Connection: close\r\nContent-Length: 100\r\n",
+		"no length": "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, closed := flood(t, "HTTP/1.1 200 OK\r\nId: other\r\n"+extra+"\r\nstart", "")
+			ctx, cancel := context.WithTimeout(context.Background(), hangTimeout)
+			defer cancel()
+			_, err := NewPool(dialect{}).Send(ctx, s, request("1", ""))
+			var mismatched *MismatchedResponseError
+			is.True(errors.As(err, &mismatched))
+			<-closed
+		})
+	}
+}
+
+// The parts of a chunked body that are not data are limited by net/http, which
+// reads each line and the trailer section within the buffer of the connection.
+func TestSend_RejectsEndlessChunkOverhead(t *testing.T) {
+	for name, c := range map[string]struct{ start, block string }{
+		"size":             {"", "0"},
+		"extension":        {"1;", "a"},
+		"extensions":       {"", "1;" + strings.Repeat("a", 1000) + "\r\nx\r\n"},
+		"trailer line":     {"0\r\nX: ", "a"},
+		"trailer lines":    {"0\r\n", "X: a\r\n"},
+		"end of the chunk": {"1\r\nx", "\r"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, closed := flood(t, "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"+c.start, c.block)
+			p := NewPool(dialect{})
+			ctx, cancel := context.WithTimeout(context.Background(), hangTimeout)
+			defer cancel()
+			resp, err := p.Send(ctx, s, request("1", ""))
+			is.NoErr(err)
+			bytes := allocated(func() { _, err = io.Copy(io.Discard, resp.Body) })
+			t.Logf("%d KiB allocated", bytes>>10)
+			is.True(err != nil)            // the body is not complete
+			is.True(bytes < maxFloodAlloc) // memory is bounded
+			is.NoErr(ctx.Err())            // the flood is cut off by its size
+			resp.Abort()
+			is.Equal(p.OpenConns(), 0)
+			<-closed
+		})
+	}
+}
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -191,14 +191,14 @@
 			r.Framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 			return nil
 		}
-		if skipped == maxMismatched {
-			return &MismatchedResponseError{Skipped: skipped}
+		if skipped == maxMismatched || resp.Close {
+			return &MismatchedResponseError{Skipped: skipped + 1}
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxMismatchedBody))
 		if err != nil {
 			return err
 		}
-		if n == maxMismatchedBody || resp.Close {
+		if n == maxMismatchedBody {
 			return &MismatchedResponseError{Skipped: skipped + 1}
 		}
 	}
