ingress: a response cut by its own deadline or caller is not a crash

What callers saw: 503 ("crashes_servers") for a request that had never crashed a server. A stream that reached its deadline, or whose caller left, after its first bytes was counted as a crash of the server; three of them within a minute, on any daemons, and requests of the same content (host, path, key and body) were refused by all daemons. The server was also rated as failed, and the attempt was logged as connection_broken.

Cause: the end of the request's context closes the connection to the server, and the read error that follows was taken for one of the server's making. Send distinguishes the two; the reading of the body did not.

Change: when the request has ended, the attempt's reason is deadline or caller_left, and neither the server's health nor the request's crash count changes. Bodies that are buffered are treated alike. A connection that breaks while the request is running counts as before.

--- a/gateway/ingress/response.go
+++ b/gateway/ingress/response.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -55,11 +56,11 @@
 
 // forwardBuffered reads a response that is not a stream to its end and then
 // forwards it. It returns whether another server may be tried.
-func (q *request) forwardBuffered(w http.ResponseWriter, s *catalog.Server, a *Attempt, resp *upstream.Response) bool {
+func (q *request) forwardBuffered(ctx context.Context, w http.ResponseWriter, s *catalog.Server, a *Attempt, resp *upstream.Response) bool {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
 	if err != nil {
 		resp.Abort()
-		return q.handleFailure(s, a, ReasonConnectionBroken, err.Error())
+		return q.handleBrokenBody(ctx, s, a, err)
 	}
 	resp.Release()
 	q.h.Dialect.StripInternal(resp.Header)
@@ -83,7 +84,7 @@
 
 // forwardStream forwards complete events as they arrive. It returns whether
 // another server may be tried.
-func (q *request) forwardStream(w http.ResponseWriter, s *catalog.Server, a *Attempt, resp *upstream.Response) bool {
+func (q *request) forwardStream(ctx context.Context, w http.ResponseWriter, s *catalog.Server, a *Attempt, resp *upstream.Response) bool {
 	q.mayHaveRun = true
 	var events sse.Splitter
 	buf := make([]byte, streamBufferBytes)
@@ -101,8 +102,10 @@
 		}
 		if err != nil {
 			resp.Abort()
-			q.h.Quarantine.RecordCrash(q.fingerprint)
-			return q.handleFailure(s, a, ReasonConnectionBroken, err.Error())
+			if ctx.Err() == nil {
+				q.h.Quarantine.RecordCrash(q.fingerprint)
+			}
+			return q.handleBrokenBody(ctx, s, a, err)
 		}
 	}
 }
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -151,9 +151,9 @@
 		resp.Abort()
 		return q.handleFailure(s, a, ReasonResponseUnsigned, "")
 	case resp.Status >= 200 && resp.Status < 300 && q.route.Kind == route.Stream:
-		return q.forwardStream(w, s, a, resp)
+		return q.forwardStream(ctx, w, s, a, resp)
 	default:
-		return q.forwardBuffered(w, s, a, resp)
+		return q.forwardBuffered(ctx, w, s, a, resp)
 	}
 }
 
@@ -230,6 +230,18 @@
 	return true
 }
 
+// handleBrokenBody handles a response whose body could not be read to its end,
+// which is the server's failure unless the request itself has ended. It returns
+// whether another server may be tried.
+func (q *request) handleBrokenBody(ctx context.Context, s *catalog.Server, a *Attempt, err error) bool {
+	if ctx.Err() != nil {
+		a.Reason, a.Detail = interruptReason(ctx), err.Error()
+		q.mayHaveRun = true
+		return false
+	}
+	return q.handleFailure(s, a, ReasonConnectionBroken, err.Error())
+}
+
 // handleFailure handles an attempt whose response can't be used. It returns
 // whether another server may be tried.
 func (q *request) handleFailure(s *catalog.Server, a *Attempt, reason Reason, detail string) bool {
