ingress: deliver large responses whole

What callers saw: the first 4 MiB of a larger response that is not a stream, as a complete response: status 200, the server's signature and a Content-Length of the cut part. The rest stayed unread on the server's connection, which was returned to the pool if none of it had arrived yet. A response without end looked complete, too.

Cause: the body was read through a LimitReader, whose end cannot be told from the end of the body.

Change: a response that is larger than the buffer is forwarded as it arrives, with the server's own Content-Length or in chunks. If the server breaks off, or the request's deadline passes, the caller's connection is aborted, so that the response can't look complete; if the caller leaves, the server's connection is reset. Up to the buffer's size nothing changes: the response is forwarded once it is complete, and another server can be tried until then. A large 5xx response is not forwarded where the route allows another attempt, as before.

Considered: to refuse large responses with 502. It is simpler, but a sound server's response would never reach its caller.

--- a/gateway/ingress/endless_test.go
+++ b/gateway/ingress/endless_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -69,3 +71,111 @@
 	}
 	is.Equal(b.runs.Load(), int32(4))
 }
+
+// largeBody is longer than what is buffered of a response.
+var largeBody = strings.Repeat("0123456789abcdef", 4*maxBufferedBytes/16)
+
+// largeResponse returns a script that responds with the status, the rest of the
+// head and the body, and then closes the connection if closing is set.
+func largeResponse(status int, rest, body string, closing bool) func(*backend, *http.Request, net.Conn) {
+	return func(_ *backend, req *http.Request, c net.Conn) {
+		fmt.Fprintf(c, "HTTP/1.1 %d Status\r\nId: %s\r\nSignature: x\r\n%s\r\n%s", status, req.Header.Get("Id"), rest, body)
+		if closing {
+			c.Close()
+		}
+	}
+}
+
+// Guards against a large response that is cut at the size of the buffer and
+// forwarded as complete.
+func TestHandlerForwardsLargeResponse(t *testing.T) {
+	sized := fmt.Sprintf("Content-Length: %d\r\n", len(largeBody))
+	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(largeBody), largeBody)
+	for name, script := range map[string]func(*backend, *http.Request, net.Conn){
+		"length":       largeResponse(200, sized, largeBody, false),
+		"chunks":       largeResponse(200, "Transfer-Encoding: chunked\r\n", chunks, false),
+		"no length":    largeResponse(200, "", largeBody, true),
+		"client error": largeResponse(404, sized, largeBody, false),
+		"server error": largeResponse(500, sized, largeBody, false),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := startBackend(t, script)
+			f := newFixture(t, b)
+			for range 2 {
+				resp, body, err := f.do(t, "/unsafe/x", "Deadline", "1m")
+				is.NoErr(err)
+				is.Equal(len(body), len(largeBody))
+				is.True(body == largeBody)
+				is.Equal(resp.Header.Get("Signature"), "x")
+				is.True(resp.ContentLength < 0 || resp.ContentLength == int64(len(largeBody)))
+			}
+			is.Equal(b.runs.Load(), int32(2))
+			is.Equal(f.records.wait(2)[0].Outcome, OutcomeAnswered)
+		})
+	}
+}
+
+// Guards against a large response that breaks off and looks complete.
+func TestHandlerAbortsBrokenLargeResponse(t *testing.T) {
+	sized := fmt.Sprintf("Content-Length: %d\r\n", len(largeBody)+1)
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(largeBody), largeBody)
+	for name, script := range map[string]func(*backend, *http.Request, net.Conn){
+		"length":       largeResponse(200, sized, largeBody, true),
+		"chunks":       largeResponse(200, "Transfer-Encoding: chunked\r\n", chunk, true),
+		"server error": largeResponse(500, sized, largeBody, true),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := startBackend(t, script)
+			f := newFixture(t, b)
+			_, _, err := f.do(t, "/unsafe/x", "Deadline", "1m")
+			is.True(err != nil)
+			is.Equal(b.runs.Load(), int32(1))
+			rec := f.records.wait(1)[0]
+			is.Equal(rec.Outcome, OutcomeUnknown)
+			is.Equal(rec.Attempts[0].Reason, ReasonConnectionBroken)
+			is.Equal(f.handler.Pool.OpenConns(), 0)
+		})
+	}
+}
+
+// A large error of one server does not keep a request that may be repeated from
+// another one.
+func TestHandlerRetriesLargeServerError(t *testing.T) {
+	is := is.New(t)
+	sized := fmt.Sprintf("Content-Length: %d\r\n", len(largeBody))
+	f := newFixture(t, startBackend(t, largeResponse(500, sized, largeBody, false)), startBackend(t, respondOK))
+	for range 4 {
+		resp, body, err := f.do(t, "/safe/x", "Deadline", "1m")
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK)
+		is.Equal(body, "fine")
+	}
+}
+
+// A large response that the caller does not read to its end is no failure of the
+// server, whose connection is closed.
+func TestHandlerEndsLargeResponseWhenCallerDisconnects(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan struct{})
+	b := startBackend(t, func(_ *backend, req *http.Request, c net.Conn) {
+		defer close(ended)
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: x\r\n\r\n", req.Header.Get("Id"))
+		for err == nil {
+			_, err = io.WriteString(c, largeBody)
+		}
+	})
+	f := newFixture(t, b)
+	req, err := http.NewRequest(http.MethodGet, f.URL+"/unsafe/x", nil)
+	is.NoErr(err)
+	req.Header.Set("Key", "key")
+	req.Header.Set("Deadline", "1m")
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	resp.Body.Close()
+	<-ended
+	is.Equal(f.records.wait(1)[0].Outcome, OutcomeCallerLeft)
+	is.Equal(f.handler.Pool.OpenConns(), 0)
+}
--- a/gateway/ingress/response.go
+++ b/gateway/ingress/response.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -16,7 +17,7 @@
 
 const (
 	// maxBufferedBytes is the maximum size of a response that is buffered before
-	// it is forwarded.
+	// it is forwarded. While it is buffered, another server can still be tried.
 	maxBufferedBytes = 4 << 20
 	// maxDrainBytes is the most that is read of a response that is not forwarded,
 	// in order to reuse its connection.
@@ -54,14 +55,18 @@
 	}
 }
 
-// forwardBuffered reads a response that is not a stream to its end and then
-// forwards it. It returns whether another server may be tried.
-func (q *request) forwardBuffered(ctx context.Context, w http.ResponseWriter, s *catalog.Server, a *Attempt, resp *upstream.Response) bool {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
+// forwardPlain reads a response that is not a stream to its end and then forwards
+// it, unless it is too large to be buffered. It returns whether another server may
+// be tried.
+func (q *request) forwardPlain(ctx context.Context, w http.ResponseWriter, s *catalog.Server, a *Attempt, resp *upstream.Response) bool {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
 	if err != nil {
 		resp.Abort()
 		return q.handleBrokenBody(ctx, s, a, err)
 	}
+	if len(body) > maxBufferedBytes {
+		return q.forwardLarge(ctx, w, s, a, resp, body)
+	}
 	resp.Release()
 	q.h.Dialect.StripInternal(resp.Header)
 	buffered := &bufferedResponse{status: resp.Status, header: resp.Header, body: body}
@@ -69,10 +74,7 @@
 		q.failedResponse = buffered
 		return q.handleFailure(s, a, ReasonServerError, "")
 	}
-	q.mayHaveRun = true
-	q.h.Health.RecordSuccess(s.ID)
-	q.h.Quarantine.RecordCompleted(q.fingerprint)
-	q.finished = true
+	q.recordAnswered(s)
 	if q.headerWritten {
 		// The response to a request that resumes a stream is not a stream, so
 		// it can't continue what the caller has received.
@@ -82,6 +84,68 @@
 	return false
 }
 
+// forwardLarge forwards a response that is too large to be buffered, as it
+// arrives; start is what was read of its body. A server error is not forwarded
+// where another server may be tried. It returns whether one may be.
+func (q *request) forwardLarge(ctx context.Context, w http.ResponseWriter, s *catalog.Server, a *Attempt, resp *upstream.Response, start []byte) bool {
+	q.mayHaveRun = true
+	failed := resp.Status >= http.StatusInternalServerError
+	if failed && q.route.Repeatable() {
+		resp.Abort()
+		return q.handleFailure(s, a, ReasonServerError, "response too large to be buffered")
+	}
+	if q.headerWritten {
+		resp.Abort()
+		q.abortResponse(ReasonServerError) // as in forwardPlain
+	}
+	q.writeHeader(w, resp)
+	out := &callerWriter{w: w}
+	_, err := io.Copy(out, io.MultiReader(bytes.NewReader(start), resp.Body))
+	if out.failed {
+		resp.Abort()
+		q.abortCallerLeft()
+	}
+	if err != nil {
+		resp.Abort()
+		q.handleBrokenBody(ctx, s, a, err)
+		return false // the header was sent, so run aborts the response
+	}
+	resp.Release()
+	q.rec.Outcome = OutcomeAnswered
+	if failed {
+		q.handleFailure(s, a, ReasonServerError, "")
+		q.finished = true
+		return false
+	}
+	q.recordAnswered(s)
+	return false
+}
+
+// callerWriter writes to the caller and records whether a write has failed, to
+// distinguish the caller's end of a copy from the server's.
+type callerWriter struct {
+	w      io.Writer
+	failed bool
+}
+
+// Write implements io.Writer.
+func (c *callerWriter) Write(b []byte) (int, error) {
+	n, err := c.w.Write(b)
+	if err != nil {
+		c.failed = true
+	}
+	return n, err
+}
+
+// recordAnswered records that the server has run the request to its end and that
+// its response is final.
+func (q *request) recordAnswered(s *catalog.Server) {
+	q.mayHaveRun = true
+	q.finished = true
+	q.h.Health.RecordSuccess(s.ID)
+	q.h.Quarantine.RecordCompleted(q.fingerprint)
+}
+
 // forwardStream forwards complete events as they arrive. It returns whether
 // another server may be tried.
 func (q *request) forwardStream(ctx context.Context, w http.ResponseWriter, s *catalog.Server, a *Attempt, resp *upstream.Response) bool {
@@ -118,12 +182,10 @@
 		return q.handleFailure(s, a, ReasonConnectionBroken, "stream ended within an event")
 	}
 	resp.Release()
-	q.h.Health.RecordSuccess(s.ID)
-	q.h.Quarantine.RecordCompleted(q.fingerprint)
+	q.recordAnswered(s)
 	if !q.headerWritten {
-		q.writeHeader(w, resp)
+		q.writeStreamHeader(w, resp)
 	}
-	q.finished = true
 	q.rec.Outcome = OutcomeAnswered
 	return false
 }
@@ -138,7 +200,7 @@
 		q.h.CacheIndex.MarkComputed(q.call.SharedParts(), cacheindex.Holder(s.Tag()))
 	}
 	if !q.headerWritten {
-		q.writeHeader(w, resp)
+		q.writeStreamHeader(w, resp)
 	}
 	if _, err := w.Write(complete); err != nil {
 		return err
@@ -151,13 +213,19 @@
 	return http.NewResponseController(w).Flush()
 }
 
-// writeHeader forwards the status and headers of the first server that sends
-// events. Later servers that resume the stream only add events.
+// writeStreamHeader forwards the status and headers of the first server that
+// sends events. Later servers that resume the stream only add events.
+func (q *request) writeStreamHeader(w http.ResponseWriter, resp *upstream.Response) {
+	resp.Header.Del("Content-Length")
+	q.writeHeader(w, resp)
+}
+
+// writeHeader forwards the status and headers of a response whose body follows as
+// it arrives.
 func (q *request) writeHeader(w http.ResponseWriter, resp *upstream.Response) {
 	q.headerWritten = true
 	q.h.Dialect.StripInternal(resp.Header)
 	copyHeader(w.Header(), resp.Header)
-	w.Header().Del("Content-Length")
 	w.WriteHeader(resp.Status)
 	q.rec.Status = resp.Status
 	q.rec.FirstByte = time.Since(q.rec.Start)
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -153,7 +153,7 @@
 	case resp.Status >= 200 && resp.Status < 300 && q.route.Kind == route.Stream:
 		return q.forwardStream(ctx, w, s, a, resp)
 	default:
-		return q.forwardBuffered(ctx, w, s, a, resp)
+		return q.forwardPlain(ctx, w, s, a, resp)
 	}
 }
 
