ingress: buffer at most 256 KiB of a response

What callers could see: a process that exceeds its memory is killed, and all requests that it had accepted are lost. A server in trouble whose responses have no end made each request that was on it hold 4 MiB, and twice that while the buffer grew. 20 such requests fill a VM of 184 MB.

Since larger responses are forwarded as they arrive, the limit only decides up to which size a response that breaks off can still be replaced by that of another server.

Evidence: TestHandlerHoldsLittleOfEndlessResponses with the limit of before, 32 requests, three runs: 8248, 6712 and 9104 KiB held for each request, not true: held < requests*maxHeld (1 MiB). Now 471, 484 and 361 KiB.

Ruled out: a common budget for all buffers. It would bound the sum more exactly, but one server in trouble could use it up for the requests on all others.

--- a/gateway/ingress/endless_test.go
+++ b/gateway/ingress/endless_test.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -179,3 +181,59 @@
 	is.Equal(f.records.wait(1)[0].Outcome, OutcomeCallerLeft)
 	is.Equal(f.handler.Pool.OpenConns(), 0)
 }
+
+// Guards against one server in trouble taking the memory of a process that holds
+// other requests: many requests whose responses are large, and neither end nor
+// break off.
+func TestHandlerHoldsLittleOfEndlessResponses(t *testing.T) {
+	const (
+		requests = 32
+		// maxHeld is the most that one request may hold, in bytes. With 100 requests
+		// on a server in trouble, it is half of the memory of a small VM.
+		maxHeld = 1 << 20
+		sent    = 3 << 20 // bytes that the server sends of each body
+	)
+	is := is.New(t)
+	body := make([]byte, sent) // of all responses, so that the servers hold little
+	b := startBackend(t, func(_ *backend, req *http.Request, c net.Conn) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: x\r\nContent-Length: %d\r\n\r\n", req.Header.Get("Id"), 1<<30)
+		_, _ = c.Write(body)
+		var b [1]byte
+		_, _ = c.Read(b[:])
+	})
+	f := newFixture(t, b)
+	runtime.GC()
+	var before, now runtime.MemStats
+	runtime.ReadMemStats(&before)
+	var callers sync.WaitGroup
+	for range requests {
+		callers.Go(func() {
+			req, err := http.NewRequest(http.MethodGet, f.URL+"/safe/x", nil)
+			if err != nil {
+				return
+			}
+			req.Header.Set("Key", "key")
+			resp, err := http.DefaultTransport.RoundTrip(req)
+			if err == nil {
+				_, _ = io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() { callers.Wait(); close(done) }()
+	var peak uint64
+	for ended := false; !ended; {
+		select {
+		case <-done:
+			ended = true
+		case <-time.After(10 * time.Millisecond):
+			runtime.GC()
+			runtime.ReadMemStats(&now)
+			peak = max(peak, now.HeapAlloc)
+		}
+	}
+	held := max(peak, before.HeapAlloc) - before.HeapAlloc
+	t.Logf("%d KiB held for each request", held>>10/requests)
+	is.True(held < requests*maxHeld)
+}
--- a/gateway/ingress/response.go
+++ b/gateway/ingress/response.go
@@ -18,7 +18,8 @@
 const (
 	// maxBufferedBytes is the maximum size of a response that is buffered before
 	// it is forwarded. While it is buffered, another server can still be tried.
-	maxBufferedBytes = 4 << 20
+	// Every request in flight may hold that much.
+	maxBufferedBytes = 256 << 10
 	// maxDrainBytes is the most that is read of a response that is not forwarded,
 	// in order to reuse its connection.
 	maxDrainBytes = 64 << 10
