sse: bound the size of an event, and scan it once

What callers saw: a stream whose server sends an event without end stayed open until its deadline and then broke off, though another server could have resumed it. Meanwhile the event was buffered without limit, which puts the process and all requests that it has accepted at risk, and searched from its start again at each read.

The stream counts as broken: it is resumed on another server where the route allows it, and aborted otherwise; the events before it are forwarded. The Splitter remembers how far it has searched.

--- a/gateway/ingress/endless_test.go
+++ b/gateway/ingress/endless_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -237,3 +238,51 @@
 	t.Logf("%d KiB held for each request", held>>10/requests)
 	is.True(held < requests*maxHeld)
 }
+
+// endlessEvent starts a stream with an event, and then
+// sends floodBytes of another one without its end.
+func endlessEvent(_ *backend, req *http.Request, c net.Conn) {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: x\r\n\r\nid: 1\ndata: 1\n\nid: 2\n", req.Header.Get("Id"))
+	line := []byte("data: " + strings.Repeat("x", 58) + "\n")
+	for n := 0; err == nil && n < floodBytes; n += len(line) {
+		_, err = c.Write(line)
+	}
+	var b [1]byte
+	_, _ = c.Read(b[:])
+}
+
+// floodBytes is how much a flooding server sends before it falls silent.
+const floodBytes = 32 << 20
+
+// Guards against an event without end, which was read into memory until the
+// request ended: the stream must be resumed on another server.
+func TestHandlerResumesStreamAfterEndlessEvent(t *testing.T) {
+	is := is.New(t)
+	var first atomic.Bool
+	script := func(b *backend, req *http.Request, c net.Conn) {
+		if first.CompareAndSwap(false, true) {
+			endlessEvent(b, req, c)
+			return
+		}
+		streamEvents(3, 3, true)(b, req, c)
+	}
+	f := newFixture(t, startBackend(t, script), startBackend(t, script))
+	_, body, err := f.do(t, "/stream/x")
+	is.NoErr(err)
+	is.Equal(body, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n")
+	rec := f.records.wait(1)[0]
+	is.Equal(rec.Outcome, OutcomeAnswered)
+	is.Equal(rec.Resumptions, 1)
+}
+
+// Guards against an event without end that keeps a request until its deadline.
+func TestHandlerAbortsStreamAfterEndlessEvent(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, startBackend(t, endlessEvent))
+	_, _, err := f.do(t, "/once/x")
+	is.True(err != nil)
+	rec := f.records.wait(1)[0]
+	is.Equal(rec.Outcome, OutcomeUnknown)
+	is.Equal(rec.Reason, ReasonConnectionBroken) // not the deadline
+	is.Equal(f.handler.Pool.OpenConns(), 0)
+}
--- a/gateway/ingress/response.go
+++ b/gateway/ingress/response.go
@@ -156,11 +156,15 @@
 	for {
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
-			events.Write(buf[:n])
+			tooLarge := events.Write(buf[:n])
 			if err := q.forwardEvents(w, s, resp, &events); err != nil {
 				resp.Abort()
 				q.abortCallerLeft()
 			}
+			if tooLarge != nil {
+				resp.Abort()
+				return q.handleFailure(s, a, ReasonConnectionBroken, tooLarge.Error())
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			return q.finishStream(w, s, a, resp, &events)
--- a/gateway/sse/sse.go
+++ b/gateway/sse/sse.go
@@ -2,28 +2,48 @@
 // forward only complete events. It accepts LF and CRLF line endings.
 package sse
 
-import "bytes"
+import (
+	"bytes"
+	"errors"
+)
+
+// MaxEventBytes is the size up to which a Splitter buffers an event that is not
+// complete.
+const MaxEventBytes = 256 << 10
+
+// ErrEventTooLarge is returned by Write if an event exceeds MaxEventBytes.
+var ErrEventTooLarge = errors.New("sse: event exceeds the size limit")
 
 // Splitter buffers the bytes of a stream and returns the complete events. The
 // zero value is ready for use. It is not safe for concurrent use.
 type Splitter struct {
-	buf  []byte
-	next int // end of the events that Complete returned
+	buf     []byte
+	end     int // end of the complete events
+	scanned int // up to here the end of the next event was not found
+	next    int // end of the events that Complete returned
 }
 
-// Write appends bytes of the stream.
-func (s *Splitter) Write(b []byte) { s.buf = append(s.buf, b...) }
+// Write appends bytes of the stream. It returns ErrEventTooLarge if they leave an
+// incomplete event that is too large. The complete events before it can still be
+// read, but the stream must not be continued.
+func (s *Splitter) Write(b []byte) error {
+	s.buf = append(s.buf, b...)
+	s.scan()
+	if len(s.buf)-s.end > MaxEventBytes {
+		return ErrEventTooLarge
+	}
+	return nil
+}
 
 // Complete returns the complete events buffered so far, and the value of the last
 // id field among them. The bytes are valid until the next call of Write or
 // Discard.
 func (s *Splitter) Complete() (events []byte, lastID string) {
-	end := completeLen(s.buf)
-	if end == 0 {
+	if s.end == 0 {
 		return nil, ""
 	}
-	events = s.buf[:end]
-	s.next = end
+	s.next = s.end
+	events = s.buf[:s.end]
 	return events, lastEventID(events)
 }
 
@@ -31,39 +51,39 @@
 func (s *Splitter) Discard() {
 	n := copy(s.buf, s.buf[s.next:])
 	s.buf = s.buf[:n]
+	s.end -= s.next
+	s.scanned -= s.next
 	s.next = 0
 }
 
 // Incomplete returns the buffered bytes after the events that Complete returned.
 func (s *Splitter) Incomplete() []byte { return s.buf[s.next:] }
 
-// completeLen returns the total length of the complete events at the start of b.
-func completeLen(b []byte) int {
-	end := 0
+// scan advances end over the events that are complete. An event ends with an
+// empty line, that is, with a line feed that another one follows, with or without
+// a carriage return between them.
+func (s *Splitter) scan() {
 	for {
-		n := firstEventLen(b[end:])
-		if n == 0 {
-			return end
-		}
-		end += n
-	}
-}
-
-// firstEventLen returns the length of the first event, including the empty line
-// that ends it; 0 if the event is incomplete.
-func firstEventLen(b []byte) int {
-	for i, c := range b {
-		if c != '\n' {
-			continue
+		i := bytes.IndexByte(s.buf[s.scanned:], '\n')
+		if i < 0 {
+			s.scanned = len(s.buf)
+			return
 		}
-		switch rest := b[i+1:]; {
-		case bytes.HasPrefix(rest, []byte("\n")):
-			return i + 2
-		case bytes.HasPrefix(rest, []byte("\r\n")):
-			return i + 3
+		lineFeed := s.scanned + i
+		switch rest := s.buf[lineFeed+1:]; {
+		case len(rest) == 0 || len(rest) == 1 && rest[0] == '\r':
+			s.scanned = lineFeed // decided by the next bytes
+			return
+		case rest[0] == '\n':
+			s.end = lineFeed + 2
+			s.scanned = s.end
+		case rest[0] == '\r' && rest[1] == '\n':
+			s.end = lineFeed + 3
+			s.scanned = s.end
+		default:
+			s.scanned = lineFeed + 1
 		}
 	}
-	return 0
 }
 
 // lastEventID returns the value of the last "id" field in b; empty if there is
