ingress: wait only briefly for the rest of a refusal

What callers saw: 503 at their deadline, though other servers were free. A server that refuses a request and then does not end the body of the refusal kept the request until its deadline, since the body was read to its end in order to reuse the connection. Only its size was limited.

Evidence: TestHandlerRetriesRefusalWithEndlessBody against the code before: silent and slow "503 != 200", each after the 1 s of the route; fast passes (cut off at 64 KiB).

Change: after 20 ms the connection is given up and the next server is tried. A refusal mostly arrives in one segment with its head, so connections are reused as before.

--- a/gateway/ingress/endless_test.go
+++ b/gateway/ingress/endless_test.go
@@ -286,3 +286,41 @@
 	is.Equal(rec.Reason, ReasonConnectionBroken) // not the deadline
 	is.Equal(f.handler.Pool.OpenConns(), 0)
 }
+
+// Guards against a refusal whose body does not end, which kept the request from
+// other servers until its deadline.
+func TestHandlerRetriesRefusalWithEndlessBody(t *testing.T) {
+	const head = "HTTP/1.1 503 Full\r\nId: %s\r\nNot-Executed: 1\r\nContent-Length: %d\r\n\r\n"
+	scripts := map[string]func(*backend, *http.Request, net.Conn){
+		"silent": func(_ *backend, req *http.Request, c net.Conn) {
+			fmt.Fprintf(c, head+"start", req.Header.Get("Id"), floodBytes)
+			var b [1]byte
+			_, _ = c.Read(b[:])
+		},
+		"slow": func(_ *backend, req *http.Request, c net.Conn) {
+			_, err := fmt.Fprintf(c, head, req.Header.Get("Id"), floodBytes)
+			for err == nil {
+				time.Sleep(time.Millisecond)
+				_, err = c.Write([]byte("x"))
+			}
+		},
+		"fast": func(_ *backend, req *http.Request, c net.Conn) {
+			fmt.Fprintf(c, head, req.Header.Get("Id"), floodBytes)
+			_, _ = c.Write(make([]byte, floodBytes))
+		},
+	}
+	for name, script := range scripts {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			refusing := startBackend(t, script)
+			f := newFixture(t, refusing, startBackend(t, respondOK))
+			for refusing.runs.Load() == 0 {
+				resp, body, err := f.do(t, "/unsafe/x")
+				is.NoErr(err)
+				is.Equal(resp.StatusCode, http.StatusOK)
+				is.Equal(body, "fine")
+			}
+			is.Equal(f.handler.Pool.OpenConns(), 1)
+		})
+	}
+}
--- a/gateway/ingress/response.go
+++ b/gateway/ingress/response.go
@@ -23,6 +23,9 @@
 	// maxDrainBytes is the most that is read of a response that is not forwarded,
 	// in order to reuse its connection.
 	maxDrainBytes = 64 << 10
+	// maxDrainTime is the longest that a request waits for the end of such a
+	// response, which mostly arrives with its head.
+	maxDrainTime = 20 * time.Millisecond
 	// streamBufferBytes is the size of the buffer for reading a stream.
 	streamBufferBytes = 4 << 10
 )
@@ -245,6 +248,8 @@
 // drain reads the rest of a response that is not forwarded, so that its
 // connection can be reused. Connections of longer responses are closed.
 func drain(resp *upstream.Response) {
+	timer := time.AfterFunc(maxDrainTime, resp.Abort)
+	defer timer.Stop()
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDrainBytes))
 	if err != nil || n == maxDrainBytes {
 		resp.Abort()
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -7,8 +7,8 @@
 // costly for a server. Servers echo the request ID, and a response with the ID
 // of another request is skipped.
 //
-// A Pool is safe for concurrent use. A Response is not, except that Release and
-// Abort may be called more than once.
+// A Pool is safe for concurrent use. A Response is not, except that Abort may be
+// called at any time, and Release and Abort more than once.
 package upstream
 
 import (
