ingress: test endless bytes in every part of a response

TestHandlerSurvivesEndlessBytes sends bytes without end, fast and slowly, in each part of a response through the Handler, from the status line to the events of a stream. Each request ends by its deadline without a response that looks complete, its slot in the pool is released, the heap grows by less than 4 MiB, and other requests are answered meanwhile.

--- a/gateway/ingress/endless_test.go
+++ b/gateway/ingress/endless_test.go
@@ -203,38 +203,14 @@
 		_, _ = c.Read(b[:])
 	})
 	f := newFixture(t, b)
-	runtime.GC()
-	var before, now runtime.MemStats
-	runtime.ReadMemStats(&before)
-	var callers sync.WaitGroup
-	for range requests {
-		callers.Go(func() {
-			req, err := http.NewRequest(http.MethodGet, f.URL+"/safe/x", nil)
-			if err != nil {
-				return
-			}
-			req.Header.Set("Key", "key")
-			resp, err := http.DefaultTransport.RoundTrip(req)
-			if err == nil {
-				_, _ = io.Copy(io.Discard, resp.Body)
-				resp.Body.Close()
-			}
-		})
-	}
-	done := make(chan struct{})
-	go func() { callers.Wait(); close(done) }()
-	var peak uint64
-	for ended := false; !ended; {
-		select {
-		case <-done:
-			ended = true
-		case <-time.After(10 * time.Millisecond):
-			runtime.GC()
-			runtime.ReadMemStats(&now)
-			peak = max(peak, now.HeapAlloc)
+	held := heldDuring(func() {
+		var callers sync.WaitGroup
+		for range requests {
+			// They end at the deadline, with an error.
+			callers.Go(func() { _, _ = f.discard("/safe/x", "1s") })
 		}
-	}
-	held := max(peak, before.HeapAlloc) - before.HeapAlloc
+		callers.Wait()
+	}, func() {})
 	t.Logf("%d KiB held for each request", held>>10/requests)
 	is.True(held < requests*maxHeld)
 }
@@ -324,3 +300,137 @@
 		})
 	}
 }
+
+// repeat returns a script that sends start, in which %s stands for the request's
+// ID, and then block again and again, until the gateway closes the connection. It
+// pauses between blocks and sends floodBytes at most. It answers requests on the
+// route safe.
+func repeat(start, block string, pause time.Duration) func(*backend, *http.Request, net.Conn) {
+	blocks := []byte(block)
+	return func(b *backend, req *http.Request, c net.Conn) {
+		if strings.HasPrefix(req.URL.Path, "/safe/") {
+			respondOK(b, req, c)
+			return
+		}
+		_, err := io.WriteString(c, strings.Replace(start, "%s", req.Header.Get("Id"), 1))
+		for n := 0; err == nil && n < floodBytes; n += len(blocks) {
+			time.Sleep(pause)
+			_, err = c.Write(blocks)
+		}
+		var rest [1]byte
+		_, _ = c.Read(rest[:])
+	}
+}
+
+// discard sends a request and reads its response without keeping it. It returns
+// the status and the error from sending the request or reading the body.
+func (f *fixture) discard(path, deadline string) (int, error) {
+	req, err := http.NewRequest(http.MethodGet, f.URL+path, nil)
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("Id", "r1")
+	req.Header.Set("Key", "key")
+	req.Header.Set("Deadline", deadline)
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
+
+// A server that sends bytes without end, fast or slowly, in whatever part of a
+// response, must not harm the request beyond its deadline, nor other requests:
+// the caller never gets a response that looks complete, the connection is closed,
+// little memory is taken, and other requests are answered meanwhile.
+func TestHandlerSurvivesEndlessBytes(t *testing.T) {
+	const (
+		ok      = "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: x\r\n"
+		sized   = ok + "Content-Length: 1000000000\r\n\r\n"
+		chunked = ok + "Transfer-Encoding: chunked\r\n\r\n"
+		other   = "HTTP/1.1 200 OK\r\nId: other\r\nSignature: x\r\n"
+		// maxHeld is the most that the heap may grow, in bytes: a head or a buffered
+		// response, their growth, and what this test holds for two connections.
+		maxHeld = 4 << 20
+	)
+	text := strings.Repeat("x", 1<<10)
+	cases := []struct{ name, path, start, block string }{
+		{"status line", "/unsafe/x", "HTTP/1.1 200 ", text},
+		{"header line", "/unsafe/x", ok + "X: ", text},
+		{"header lines", "/unsafe/x", ok, "X: " + text + "\r\n"},
+		{"informational", "/unsafe/x", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+		{"not HTTP", "/unsafe/x", "", text},
+		{"other responses", "/unsafe/x", "", other + "Content-Length: 5\r\n\r\nstray"},
+		{"other response", "/unsafe/x", other + "Content-Length: 1000000000\r\n\r\n", text},
+		{"body", "/unsafe/x", sized, text},
+		{"body in chunks", "/unsafe/x", chunked, "400\r\n" + text + "\r\n"},
+		{"body without length", "/unsafe/x", ok + "\r\n", text},
+		{"error", "/unsafe/x", "HTTP/1.1 500 Broken\r\nId: %s\r\nContent-Length: 1000000000\r\n\r\n", text},
+		{"unsigned", "/unsafe/x", "HTTP/1.1 200 OK\r\nId: %s\r\n\r\n", text},
+		{"chunk size", "/unsafe/x", chunked, strings.Repeat("0", 1<<10)},
+		{"trailer", "/unsafe/x", chunked + "0\r\n", "X: a\r\n"},
+		{"event", "/once/x", ok + "\r\n", "data: " + text + "\n"},
+		{"events", "/once/x", ok + "\r\n", "data: " + text + "\n\n"},
+		{"comments", "/once/x", ok + "\r\n", ": " + text + "\n\n"},
+		{"empty lines", "/once/x", ok + "\r\n", "\n"},
+	}
+	for _, c := range cases {
+		for pace, pause := range map[string]time.Duration{"fast": 0, "slow": 5 * time.Millisecond} {
+			t.Run(c.name+" "+pace, func(t *testing.T) {
+				is := is.New(t)
+				b := startBackend(t, repeat(c.start, c.block, pause))
+				f := newFixture(t, b)
+				var status int
+				var err error
+				held := heldDuring(func() { status, err = f.discard(c.path, "150ms") }, func() {
+					status, err := f.discard("/safe/x", "1m")
+					is.NoErr(err)
+					is.Equal(status, http.StatusOK) // other requests are answered
+				})
+				is.True(err != nil || status >= 500) // no success that looks complete
+				rec := f.records.of(c.path)
+				t.Logf("%s, %d KiB held", rec.Reason, held>>10)
+				is.Equal(rec.Outcome, OutcomeUnknown)
+				is.Equal(len(rec.Attempts), 1)
+				f.handler.Pool.Expire(func(string) bool { return false })
+				is.Equal(f.handler.Pool.OpenConns(), 0) // no slot is kept
+				is.True(held < maxHeld)
+			})
+		}
+	}
+}
+
+// of waits for the record of the request with the path and returns it.
+func (r *records) of(path string) Record {
+	for n := 1; ; n++ {
+		for _, rec := range r.wait(n) {
+			if rec.Path == path {
+				return rec
+			}
+		}
+	}
+}
+
+// heldDuring returns by how many bytes the heap grew at most while f ran. It calls
+// meanwhile again and again until then, at least once.
+func heldDuring(f, meanwhile func()) uint64 {
+	var before, now runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	done := make(chan struct{})
+	go func() { f(); close(done) }()
+	peak := before.HeapAlloc
+	for {
+		meanwhile()
+		runtime.GC()
+		runtime.ReadMemStats(&now)
+		peak = max(peak, now.HeapAlloc)
+		select {
+		case <-done:
+			return peak - before.HeapAlloc
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
