ingress: count only a broken connection as a crash

What callers could see: 503 ("crashes_servers") for a request that had never crashed a server. A server in trouble that answered with bytes that are no response, with a head or informational responses without end, or with the responses of other requests had each request on it counted as a crash; after three of them, on any daemons and within a minute, all daemons refused requests of the same content, also those that sound servers would have answered.

Evidence: TestHandlerDoesNotCountInvalidResponseAsCrash against the code before, the fourth request of head, flood, other and chunk: each "not true: status != http.StatusServiceUnavailable".

Cause: every error after the request was sent counted. A server that has crashed does not go on sending; its connection is reset or ends.

Change: upstream reports whether the connection broke (Error.Lost, Response.Lost), and only that counts. The server is rated as failed in both cases. TestHandlerRefusesStreamThatCrashesServers and TestHandlerRefusesRequestThatCrashesServers show that broken connections count as before.

--- a/gateway/ingress/endless_test.go
+++ b/gateway/ingress/endless_test.go
@@ -434,3 +434,43 @@
 		}
 	}
 }
+
+// Guards against bytes that are no response being counted as a crash of the
+// server, so that requests of the same content are refused.
+func TestHandlerDoesNotCountInvalidResponseAsCrash(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, c := range map[string]struct{ path, start, block string }{
+		"head":  {"/unsafe/x", "no HTTP\r\n\r\n", ""},
+		"flood": {"/unsafe/x", "", "x"},
+		"other": {"/unsafe/x", "HTTP/1.1 200 OK\r\nId: other\r\n\r\n", ""},
+		"chunk": {"/once/x", chunked + "e\r\nid: 1\ndata: 1\n\n\r\nno chunk\r\n", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := startBackend(t, func(_ *backend, req *http.Request, conn net.Conn) {
+				// The write fails if the gateway closes the connection before its end.
+				_, _ = io.WriteString(conn, strings.Replace(c.start, "%s", req.Header.Get("Id"), 1)+strings.Repeat(c.block, 1<<20))
+				var rest [1]byte
+				_, _ = conn.Read(rest[:])
+			})
+			f := newFixture(t, b)
+			for range 4 {
+				status, err := f.discard(c.path, "1m")
+				is.True(status != http.StatusServiceUnavailable) // not refused
+				is.True(err != nil || status == http.StatusBadGateway)
+			}
+			is.Equal(b.runs.Load(), int32(4))
+		})
+	}
+}
+
+// A connection that breaks within a stream still counts as a crash.
+func TestHandlerRefusesStreamThatCrashesServers(t *testing.T) {
+	is := is.New(t)
+	b := startBackend(t, streamEvents(3, 6, false))
+	f := newFixture(t, b)
+	for range 5 {
+		_, _ = f.discard("/once/x", "1m") // broken off or refused
+	}
+	is.Equal(b.runs.Load(), int32(3))
+}
--- a/gateway/ingress/response.go
+++ b/gateway/ingress/response.go
@@ -174,7 +174,7 @@
 		}
 		if err != nil {
 			resp.Abort()
-			if ctx.Err() == nil {
+			if ctx.Err() == nil && resp.Lost() {
 				q.h.Quarantine.RecordCrash(q.fingerprint)
 			}
 			return q.handleBrokenBody(ctx, s, a, err)
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -212,7 +212,9 @@
 	// If the server has crashed, it refuses the next connection and is then put
 	// into backoff.
 	q.h.Health.RecordFailure(s.ID)
-	q.h.Quarantine.RecordCrash(q.fingerprint)
+	if failure != nil && failure.Lost {
+		q.h.Quarantine.RecordCrash(q.fingerprint)
+	}
 	return q.route.Repeatable()
 }
 
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -37,6 +37,7 @@
 	tcp       *net.TCPConn
 	br        *bufio.Reader // reads from Read, which applies readLimit
 	readLimit int64         // bytes that Read may still return
+	lost      bool          // a read has failed or reached the end of the connection
 	idleUntil time.Time     // not reused from then on
 }
 
@@ -73,6 +74,9 @@
 	}
 	n, err := c.tcp.Read(p)
 	c.readLimit -= int64(n)
+	if err != nil {
+		c.lost = true
+	}
 	return n, err
 }
 
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -26,6 +26,7 @@
 // Error is returned by Send when there is no usable response.
 type Error struct {
 	Sent  bool // the server may have received some of the request
+	Lost  bool // the connection broke, rather than carry bytes that are no response
 	Cause error
 }
 
@@ -124,11 +125,11 @@
 	r := &Response{pool: p, server: s.ID, conn: c, stop: stop}
 	if r.pending, err = writeRequest(c, req); err != nil {
 		r.Abort()
-		return nil, &Error{Sent: r.pending.n > 0, Cause: err}
+		return nil, &Error{Sent: r.pending.n > 0, Lost: true, Cause: err}
 	}
 	if err := r.readHead(req); err != nil {
 		r.Abort()
-		return nil, &Error{Sent: true, Cause: err}
+		return nil, &Error{Sent: true, Lost: c.lost, Cause: err}
 	}
 	return r, nil
 }
@@ -204,6 +205,10 @@
 	}
 }
 
+// Lost reports whether the connection broke or ended while the body was read. If
+// reading failed without that, the server sent bytes that are no response.
+func (r *Response) Lost() bool { return r.conn.lost }
+
 // Release returns the connection to the pool if it can be reused, and resets it
 // otherwise. The body must have been read to its end.
 func (r *Response) Release() {
