--- a/gateway/ingress/response.go
+++ b/gateway/ingress/response.go
@@ -1,6 +1,8 @@
 package ingress
 
 import (
+	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -15,11 +17,15 @@
 
 const (
 	// maxBufferedBytes is the maximum size of a response that is buffered before
-	// it is forwarded.
-	maxBufferedBytes = 4 << 20
+	// it is forwarded. While it is buffered, another server can still be tried.
+	// Every request in flight may hold that much.
+	maxBufferedBytes = 256 << 10
 	// maxDrainBytes is the most that is read of a response that is not forwarded,
 	// in order to reuse its connection.
 	maxDrainBytes = 64 << 10
+	// maxDrainTime is the longest that a request waits for the end of such a
+	// response, which mostly arrives with its head.
+	maxDrainTime = 20 * time.Millisecond
 	// streamBufferBytes is the size of the buffer for reading a stream.
 	streamBufferBytes = 4 << 10
 )
@@ -53,13 +59,17 @@
 	}
 }
 
-// forwardBuffered reads a response that is not a stream to its end and then
-// forwards it. It returns whether another server may be tried.
-func (q *request) forwardBuffered(w http.ResponseWriter, s *catalog.Server, a *Attempt, resp *upstream.Response) bool {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
+// forwardPlain reads a response that is not a stream to its end and then forwards
+// it, unless it is too large to be buffered. It returns whether another server may
+// be tried.
+func (q *request) forwardPlain(ctx context.Context, w http.ResponseWriter, s *catalog.Server, a *Attempt, resp *upstream.Response) bool {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
 	if err != nil {
 		resp.Abort()
-		return q.handleFailure(s, a, ReasonConnectionBroken, err.Error())
+		return q.handleBrokenBody(ctx, s, a, err)
+	}
+	if len(body) > maxBufferedBytes {
+		return q.forwardLarge(ctx, w, s, a, resp, body)
 	}
 	resp.Release()
 	q.h.Dialect.StripInternal(resp.Header)
@@ -68,10 +78,7 @@
 		q.failedResponse = buffered
 		return q.handleFailure(s, a, ReasonServerError, "")
 	}
-	q.mayHaveRun = true
-	q.h.Health.RecordSuccess(s.ID)
-	q.h.Quarantine.RecordCompleted(q.fingerprint)
-	q.finished = true
+	q.recordAnswered(s)
 	if q.headerWritten {
 		// The response to a request that resumes a stream is not a stream, so
 		// it can't continue what the caller has received.
@@ -81,28 +88,96 @@
 	return false
 }
 
+// forwardLarge forwards a response that is too large to be buffered, as it
+// arrives; start is what was read of its body. A server error is not forwarded
+// where another server may be tried. It returns whether one may be.
+func (q *request) forwardLarge(ctx context.Context, w http.ResponseWriter, s *catalog.Server, a *Attempt, resp *upstream.Response, start []byte) bool {
+	q.mayHaveRun = true
+	failed := resp.Status >= http.StatusInternalServerError
+	if failed && q.route.Repeatable() {
+		resp.Abort()
+		return q.handleFailure(s, a, ReasonServerError, "response too large to be buffered")
+	}
+	if q.headerWritten {
+		resp.Abort()
+		q.abortResponse(ReasonServerError) // as in forwardPlain
+	}
+	q.writeHeader(w, resp)
+	out := &callerWriter{w: w}
+	_, err := io.Copy(out, io.MultiReader(bytes.NewReader(start), resp.Body))
+	if out.failed {
+		resp.Abort()
+		q.abortCallerLeft()
+	}
+	if err != nil {
+		resp.Abort()
+		q.handleBrokenBody(ctx, s, a, err)
+		return false // the header was sent, so run aborts the response
+	}
+	resp.Release()
+	q.rec.Outcome = OutcomeAnswered
+	if failed {
+		q.handleFailure(s, a, ReasonServerError, "")
+		q.finished = true
+		return false
+	}
+	q.recordAnswered(s)
+	return false
+}
+
+// callerWriter writes to the caller and records whether a write has failed, to
+// distinguish the caller's end of a copy from the server's.
+type callerWriter struct {
+	w      io.Writer
+	failed bool
+}
+
+// Write implements io.Writer.
+func (c *callerWriter) Write(b []byte) (int, error) {
+	n, err := c.w.Write(b)
+	if err != nil {
+		c.failed = true
+	}
+	return n, err
+}
+
+// recordAnswered records that the server has run the request to its end and that
+// its response is final.
+func (q *request) recordAnswered(s *catalog.Server) {
+	q.mayHaveRun = true
+	q.finished = true
+	q.h.Health.RecordSuccess(s.ID)
+	q.h.Quarantine.RecordCompleted(q.fingerprint)
+}
+
 // forwardStream forwards complete events as they arrive. It returns whether
 // another server may be tried.
-func (q *request) forwardStream(w http.ResponseWriter, s *catalog.Server, a *Attempt, resp *upstream.Response) bool {
+func (q *request) forwardStream(ctx context.Context, w http.ResponseWriter, s *catalog.Server, a *Attempt, resp *upstream.Response) bool {
 	q.mayHaveRun = true
 	var events sse.Splitter
 	buf := make([]byte, streamBufferBytes)
 	for {
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
-			events.Write(buf[:n])
+			tooLarge := events.Write(buf[:n])
 			if err := q.forwardEvents(w, s, resp, &events); err != nil {
 				resp.Abort()
 				q.abortCallerLeft()
 			}
+			if tooLarge != nil {
+				resp.Abort()
+				return q.handleFailure(s, a, ReasonConnectionBroken, tooLarge.Error())
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			return q.finishStream(w, s, a, resp, &events)
 		}
 		if err != nil {
 			resp.Abort()
-			q.h.Quarantine.RecordCrash(q.fingerprint)
-			return q.handleFailure(s, a, ReasonConnectionBroken, err.Error())
+			if ctx.Err() == nil && resp.Lost() {
+				q.h.Quarantine.RecordCrash(q.fingerprint)
+			}
+			return q.handleBrokenBody(ctx, s, a, err)
 		}
 	}
 }
@@ -115,12 +190,10 @@
 		return q.handleFailure(s, a, ReasonConnectionBroken, "stream ended within an event")
 	}
 	resp.Release()
-	q.h.Health.RecordSuccess(s.ID)
-	q.h.Quarantine.RecordCompleted(q.fingerprint)
+	q.recordAnswered(s)
 	if !q.headerWritten {
-		q.writeHeader(w, resp)
+		q.writeStreamHeader(w, resp)
 	}
-	q.finished = true
 	q.rec.Outcome = OutcomeAnswered
 	return false
 }
@@ -135,7 +208,7 @@
 		q.h.CacheIndex.MarkComputed(q.call.SharedParts(), cacheindex.Holder(s.Tag()))
 	}
 	if !q.headerWritten {
-		q.writeHeader(w, resp)
+		q.writeStreamHeader(w, resp)
 	}
 	if _, err := w.Write(complete); err != nil {
 		return err
@@ -148,13 +221,19 @@
 	return http.NewResponseController(w).Flush()
 }
 
-// writeHeader forwards the status and headers of the first server that sends
-// events. Later servers that resume the stream only add events.
+// writeStreamHeader forwards the status and headers of the first server that
+// sends events. Later servers that resume the stream only add events.
+func (q *request) writeStreamHeader(w http.ResponseWriter, resp *upstream.Response) {
+	resp.Header.Del("Content-Length")
+	q.writeHeader(w, resp)
+}
+
+// writeHeader forwards the status and headers of a response whose body follows as
+// it arrives.
 func (q *request) writeHeader(w http.ResponseWriter, resp *upstream.Response) {
 	q.headerWritten = true
 	q.h.Dialect.StripInternal(resp.Header)
 	copyHeader(w.Header(), resp.Header)
-	w.Header().Del("Content-Length")
 	w.WriteHeader(resp.Status)
 	q.rec.Status = resp.Status
 	q.rec.FirstByte = time.Since(q.rec.Start)
@@ -169,6 +248,8 @@
 // drain reads the rest of a response that is not forwarded, so that its
 // connection can be reused. Connections of longer responses are closed.
 func drain(resp *upstream.Response) {
+	timer := time.AfterFunc(maxDrainTime, resp.Abort)
+	defer timer.Stop()
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDrainBytes))
 	if err != nil || n == maxDrainBytes {
 		resp.Abort()
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -19,18 +19,27 @@
 // connections to the server.
 var ErrTooManyConns = errors.New("upstream: connection limit of the server reached")
 
+// maxErrorText limits the text of a cause in bytes, since the errors of net/http
+// quote what the server sent.
+const maxErrorText = 256
+
 // Error is returned by Send when there is no usable response.
 type Error struct {
 	Sent  bool // the server may have received some of the request
+	Lost  bool // the connection broke, rather than carry bytes that are no response
 	Cause error
 }
 
 // Error implements error.
 func (e *Error) Error() string {
+	cause := e.Cause.Error()
+	if len(cause) > maxErrorText {
+		cause = cause[:maxErrorText] + "..."
+	}
 	if e.Sent {
-		return "upstream: no answer: " + e.Cause.Error()
+		return "upstream: no answer: " + cause
 	}
-	return "upstream: not sent: " + e.Cause.Error()
+	return "upstream: not sent: " + cause
 }
 
 // Unwrap returns the cause.
@@ -45,6 +54,15 @@
 	return fmt.Sprintf("upstream: %d responses on the connection belong to other requests", e.Skipped)
 }
 
+// InvalidStatusError is returned when a response has a status that no request of
+// this package can have: below 100, or 101 (Switching Protocols).
+type InvalidStatusError struct{ Status int }
+
+// Error implements error.
+func (e *InvalidStatusError) Error() string {
+	return fmt.Sprintf("upstream: response with invalid status %d", e.Status)
+}
+
 // maxMismatched limits the responses to other requests that are skipped.
 const maxMismatched = 4
 
@@ -107,11 +125,11 @@
 	r := &Response{pool: p, server: s.ID, conn: c, stop: stop}
 	if r.pending, err = writeRequest(c, req); err != nil {
 		r.Abort()
-		return nil, &Error{Sent: r.pending.n > 0, Cause: err}
+		return nil, &Error{Sent: r.pending.n > 0, Lost: true, Cause: err}
 	}
 	if err := r.readHead(req); err != nil {
 		r.Abort()
-		return nil, &Error{Sent: true, Cause: err}
+		return nil, &Error{Sent: true, Lost: c.lost, Cause: err}
 	}
 	return r, nil
 }
@@ -160,36 +178,37 @@
 	return buf.Bytes(), nil
 }
 
-// readHead reads the head of the response to req. It skips informational (1xx)
-// responses and responses to other requests.
+// readHead reads the head of the response to req. It skips responses to other
+// requests.
 func (r *Response) readHead(req *Request) error {
 	for skipped := 0; ; skipped++ {
-		resp, err := http.ReadResponse(r.conn.br, &http.Request{Method: req.Method})
+		resp, err := r.conn.readResponse(req.Method)
 		if err != nil {
 			return err
 		}
-		if resp.StatusCode < http.StatusOK {
-			continue
-		}
 		head := r.pool.dialect.ParseResponse(resp)
 		if head.RequestID == "" || head.RequestID == req.ID {
 			r.ResponseHead, r.Header, r.Body, r.resp = head, resp.Header, resp.Body, resp
 			r.Framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 			return nil
 		}
-		if skipped == maxMismatched {
-			return &MismatchedResponseError{Skipped: skipped}
+		if skipped == maxMismatched || resp.Close {
+			return &MismatchedResponseError{Skipped: skipped + 1}
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxMismatchedBody))
 		if err != nil {
 			return err
 		}
-		if n == maxMismatchedBody || resp.Close {
+		if n == maxMismatchedBody {
 			return &MismatchedResponseError{Skipped: skipped + 1}
 		}
 	}
 }
 
+// Lost reports whether the connection broke or ended while the body was read. If
+// reading failed without that, the server sent bytes that are no response.
+func (r *Response) Lost() bool { return r.conn.lost }
+
 // Release returns the connection to the pool if it can be reused, and resets it
 // otherwise. The body must have been read to its end.
 func (r *Response) Release() {
