platform: a response of the store has bounded headers, bytes and items

What could happen: while the store is in trouble and sends a head, interim responses or a body without end, or the same page again and again, a daemon that polls it stored all that arrived within the 0.8 s of a poll, twice a second. A small VM exceeds its memory limit so, and its process is killed with every request that it has accepted.

Cause: the default limit of net/http for headers (10 MB), json.Decoder on an unlimited body, and a loop over pages that trusted hasMore.

Ruled out: a fixed limit of bytes, since the settings name how large a value of the store may be; and bytes alone, since `{},{}` takes about 20 times its size once it is decoded.

Change: 16 KiB of headers; a response has at most 2 MiB (twice what the store puts on a page) and one value of the size that the settings name, and at most 65,536 items, decoded one by one; a page must go on after the one before. All errors are CallErrors. Changes that exceed a limit make the poll read the complete state, as if the store no longer had them: it would fail otherwise until they are dropped.

--- a/cassialatchgw/main.go
+++ b/cassialatchgw/main.go
@@ -46,7 +46,7 @@
 	}
 	d := daemon.New(s.Settings, daemon.Adapter{
 		Dialect:          platform.Dialect{},
-		Source:           platform.NewSource(s.StoreAddress, boottime.Now),
+		Source:           platform.NewSource(s.StoreAddress, s.StoreValueBytes, boottime.Now),
 		Lister:           platform.Lister{},
 		DirectoryHandler: platform.DirectoryHandler,
 		ReadinessHandler: platform.ReadinessHandler,
