gateway/peers: the response with a peer's state has bounded headers and bytes

What could happen: a daemon that fetched the state of a peer stored whatever arrived at the peer's address within the 1.2 s of a fetch: 10 MB of headers and a body without limit. A process on a small VM can exceed its memory limit so and be killed with the requests that it has accepted.

Cause: the default limit of net/http for headers, and json.Decoder on an unlimited body.

Change: 16 KiB of headers, 8 MiB of body. Errors are of type *FetchError, with an *http.MaxBytesError as the cause of a body that is too large. A daemon that can't fetch a state reads the store itself, as before.

--- a/gateway/peers/fetch.go
+++ b/gateway/peers/fetch.go
@@ -109,17 +109,38 @@
 }
 
 const (
-	fetchTimeout = 1200 * time.Millisecond
-	maxDocument  = 16 << 20 // bytes, decompressed
+	fetchTimeout   = 1200 * time.Millisecond
+	maxHeaderBytes = 16 << 10 // of a response, with those of interim (1xx) responses
+	maxStateBytes  = 8 << 20  // of a response, with the compressed document
+	maxDocument    = 16 << 20 // bytes, decompressed
 )
 
+// FetchError is returned when the state of a peer can't be fetched.
+type FetchError struct {
+	IP    string
+	Cause error // of type *http.MaxBytesError if the response is too large
+}
+
+// Error implements error.
+func (e *FetchError) Error() string {
+	return fmt.Sprintf("peers: GET %s from %s: %v", statePath, e.IP, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *FetchError) Unwrap() error { return e.Cause }
+
 // NewFetcher returns a fetcher that connects to peers at the given port and passes
 // their states to the adopter.
 func NewFetcher(c *catalog.Catalog, clock boottime.Clock, port string, a Adopter) *HTTPFetcher {
 	return &HTTPFetcher{
 		client: &http.Client{
-			Timeout:   fetchTimeout,
-			Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 20 * time.Second, DisableCompression: true},
+			Timeout: fetchTimeout,
+			Transport: &http.Transport{
+				MaxIdleConnsPerHost:    1,
+				IdleConnTimeout:        20 * time.Second,
+				DisableCompression:     true,
+				MaxResponseHeaderBytes: maxHeaderBytes,
+			},
 		},
 		catalog: c,
 		clock:   clock,
@@ -143,26 +164,34 @@
 
 // fetch fetches the state of a peer and passes it to the adopter. The confirmation
 // is dated from the start of the request, so it never appears fresher than it is.
+// Errors are of type *FetchError.
 func (f *HTTPFetcher) fetch(ctx context.Context, ip string) error {
 	sent := f.clock()
+	response, err := f.get(ctx, ip)
+	if err != nil {
+		return &FetchError{IP: ip, Cause: err}
+	}
+	at := sent.Add(-time.Duration(response.AgeMS) * time.Millisecond)
+	f.adopter.AdoptFromPeer(ip, response.State, at)
+	return nil
+}
+
+// get requests the state of a peer and decodes the response.
+func (f *HTTPFetcher) get(ctx context.Context, ip string) (*stateResponse, error) {
 	url := fmt.Sprintf("http://%s:%s%s?config=%d", ip, f.port, statePath, f.catalog.State().RawRev)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	resp, err := f.client.Do(req)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer resp.Body.Close()
 	var response stateResponse
-	if err := json.NewDecoder(resp.Body).Decode(&response); err != nil {
-		return err
+	body := http.MaxBytesReader(nil, resp.Body, maxStateBytes)
+	if err := json.NewDecoder(body).Decode(&response); err != nil {
+		return nil, err
 	}
-	if err := response.unpack(); err != nil {
-		return err
-	}
-	at := sent.Add(-time.Duration(response.AgeMS) * time.Millisecond)
-	f.adopter.AdoptFromPeer(ip, response.State, at)
-	return nil
+	return &response, response.unpack()
 }
--- a/gateway/peers/fetch_test.go
+++ b/gateway/peers/fetch_test.go
@@ -3,7 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"errors"
+	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -60,3 +64,68 @@
 	StateHandler(c).ServeHTTP(w, httptest.NewRequest("GET", statePath+"?config=8", nil))
 	is.True(!strings.Contains(w.Body.String(), "packed"))
 }
+
+// fetchFrom fetches the state of a peer that responds with the handler.
+func fetchFrom(t *testing.T, h http.HandlerFunc) (*adopted, error) {
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	host, port, err := net.SplitHostPort(strings.TrimPrefix(server.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := &adopted{}
+	f := NewFetcher(catalog.New(boottime.Now), boottime.Now, port, got)
+	f.client.Timeout = time.Minute // no verdict depends on the speed of the machine
+	return got, f.fetch(t.Context(), host)
+}
+
+const stateJSON = `{"Revision":7,"age_ms":1}`
+
+// An address may be used by something else than a daemon, or a daemon be in
+// trouble: interim responses, headers or a body without end must not take the
+// memory of the VM.
+func TestFetch_RejectsResponseBeyondLimits(t *testing.T) {
+	for name, handler := range map[string]http.HandlerFunc{
+		"headers": func(w http.ResponseWriter, _ *http.Request) {
+			for i := range maxHeaderBytes / 16 {
+				w.Header().Set(fmt.Sprintf("X-%d", i), "0123456789")
+			}
+			_, _ = io.WriteString(w, stateJSON)
+		},
+		"1xx": func(w http.ResponseWriter, _ *http.Request) {
+			for range maxHeaderBytes / 16 {
+				w.WriteHeader(http.StatusEarlyHints)
+			}
+			_, _ = io.WriteString(w, stateJSON)
+		},
+		"body": func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, strings.Repeat(" ", maxStateBytes)+stateJSON)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			got, err := fetchFrom(t, handler)
+			var fetchErr *FetchError
+			is.True(errors.As(err, &fetchErr))
+			is.Equal(got.state.Revision, int64(0))
+		})
+	}
+}
+
+// The fetch of a body without end ends at the limit and closes the connection.
+func TestFetch_ClosesConnectionOfEndlessBody(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{})
+	_, err := fetchFrom(t, func(w http.ResponseWriter, r *http.Request) {
+		defer close(closed)
+		block := bytes.Repeat([]byte("x"), 64<<10)
+		_, _ = io.WriteString(w, `{"packed":"`)
+		for range 2 * maxStateBytes / len(block) {
+			_, _ = w.Write(block)
+		}
+		<-r.Context().Done()
+	})
+	var tooLarge *http.MaxBytesError
+	is.True(errors.As(err, &tooLarge))
+	<-closed
+}
