gateway/peers: a configuration document beyond the limit is an error

What could happen: of a document that is larger than 16 MiB once it is decompressed, the first 16 MiB were passed on as the whole, without an error. As a truncated JSON object it was rejected later, with an error that names a wrong cause, and again at each fetch.

Cause: io.LimitReader ends as if the document had ended.

Evidence, the new test on the code before: fetch_test.go:142: not true: errors.As(response(maxDocument+1).unpack(), &tooLarge) --- FAIL: TestUnpack_RejectsDocumentBeyondLimit

Change: an *http.MaxBytesError. A document of exactly the limit is accepted.

--- a/gateway/peers/fetch.go
+++ b/gateway/peers/fetch.go
@@ -53,12 +53,14 @@
 	return p.packed
 }
 
-// unpack decompresses the document into State.Raw.
+// unpack decompresses the document into State.Raw. It returns an error of type
+// *http.MaxBytesError for a document of more than maxDocument bytes.
 func (r *stateResponse) unpack() error {
 	if len(r.Packed) == 0 {
 		return nil
 	}
-	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(r.Packed)), maxDocument))
+	document := flate.NewReader(bytes.NewReader(r.Packed))
+	raw, err := io.ReadAll(http.MaxBytesReader(nil, document, maxDocument))
 	r.Raw, r.Packed = raw, nil
 	return err
 }
--- a/gateway/peers/fetch_test.go
+++ b/gateway/peers/fetch_test.go
@@ -129,3 +129,18 @@
 	is.True(errors.As(err, &tooLarge))
 	<-closed
 }
+
+// A document beyond the limit must be reported, not truncated: a part of it might
+// be taken for a document that the operators have published.
+func TestUnpack_RejectsDocumentBeyondLimit(t *testing.T) {
+	is := is.New(t)
+	response := func(size int) *stateResponse {
+		var p packer
+		return &stateResponse{Packed: p.pack(&catalog.State{RawRev: 1, Raw: make([]byte, size)})}
+	}
+	var tooLarge *http.MaxBytesError
+	is.True(errors.As(response(maxDocument+1).unpack(), &tooLarge))
+	largest := response(maxDocument)
+	is.NoErr(largest.unpack())
+	is.Equal(len(largest.Raw), maxDocument)
+}
