gateway/peers: only a confirmed state is adopted from a peer's response

What could happen: any response at a peer's address was decoded as a state: an error, the target of a redirect, or an object without the fields of a state. A daemon that had just started then held an empty state as confirmed, and did not read the store for some time; a negative age dated the confirmation in the future, so that revoked API keys were accepted for longer than their lease.

Cause: the status was not checked, redirects were followed, and the fields of the response were not checked either.

Evidence, the new test on the code before: fetch_test.go:175: not true: errors.As(err, &fetchErr) --- FAIL: TestFetch_RejectsWhatIsNoConfirmedState: status, redirect, object, null, age Ruled out: a sound daemon that sends one of these. It responds with 503 until it has a state, revisions of the store start above 0, and its age is never negative.

Change: a status other than 200, a revision that is not above 0 and a negative age are errors.

--- a/gateway/peers/fetch.go
+++ b/gateway/peers/fetch.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -117,14 +118,22 @@
 	maxDocument    = 16 << 20 // bytes, decompressed
 )
 
+// errNotConfirmed is the cause of a FetchError for a response that is not a
+// confirmed state.
+var errNotConfirmed = errors.New("response is not a confirmed state")
+
 // FetchError is returned when the state of a peer can't be fetched.
 type FetchError struct {
-	IP    string
-	Cause error // of type *http.MaxBytesError if the response is too large
+	IP     string
+	Status int   // HTTP status; 0 if it was 200 or there was no response
+	Cause  error // of type *http.MaxBytesError if the response is too large
 }
 
 // Error implements error.
 func (e *FetchError) Error() string {
+	if e.Status != 0 {
+		return fmt.Sprintf("peers: GET %s from %s: status %d", statePath, e.IP, e.Status)
+	}
 	return fmt.Sprintf("peers: GET %s from %s: %v", statePath, e.IP, e.Cause)
 }
 
@@ -143,6 +152,7 @@
 				DisableCompression:     true,
 				MaxResponseHeaderBytes: maxHeaderBytes,
 			},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 		catalog: c,
 		clock:   clock,
@@ -171,29 +181,43 @@
 	sent := f.clock()
 	response, err := f.get(ctx, ip)
 	if err != nil {
-		return &FetchError{IP: ip, Cause: err}
+		return err
 	}
 	at := sent.Add(-time.Duration(response.AgeMS) * time.Millisecond)
 	f.adopter.AdoptFromPeer(ip, response.State, at)
 	return nil
 }
 
-// get requests the state of a peer and decodes the response.
+// get requests the state of a peer. Errors are of type *FetchError.
 func (f *HTTPFetcher) get(ctx context.Context, ip string) (*stateResponse, error) {
 	url := fmt.Sprintf("http://%s:%s%s?config=%d", ip, f.port, statePath, f.catalog.State().RawRev)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return nil, err
+		return nil, &FetchError{IP: ip, Cause: err}
 	}
 	resp, err := f.client.Do(req)
 	if err != nil {
-		return nil, err
+		return nil, &FetchError{IP: ip, Cause: err}
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, &FetchError{IP: ip, Status: resp.StatusCode}
+	}
+	response, err := decodeResponse(resp.Body)
+	if err != nil {
+		return nil, &FetchError{IP: ip, Cause: err}
+	}
+	return response, nil
+}
+
+// decodeResponse decodes a state and its configuration document.
+func decodeResponse(body io.ReadCloser) (*stateResponse, error) {
 	var response stateResponse
-	body := http.MaxBytesReader(nil, resp.Body, maxStateBytes)
-	if err := json.NewDecoder(body).Decode(&response); err != nil {
+	if err := json.NewDecoder(http.MaxBytesReader(nil, body, maxStateBytes)).Decode(&response); err != nil {
 		return nil, err
 	}
+	if response.Revision <= 0 || response.AgeMS < 0 {
+		return nil, errNotConfirmed
+	}
 	return &response, response.unpack()
 }
--- a/gateway/peers/fetch_test.go
+++ b/gateway/peers/fetch_test.go
@@ -144,3 +144,40 @@
 	is.NoErr(largest.unpack())
 	is.Equal(len(largest.Raw), maxDocument)
 }
+
+// The address of a daemon that is gone may be used by something else, and a daemon
+// in trouble may send anything. No response but a confirmed state may be adopted: it
+// would replace the empty state of a daemon that has just started, or date the
+// confirmation of API keys in the future.
+func TestFetch_RejectsWhatIsNoConfirmedState(t *testing.T) {
+	respond := func(status int, body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != statePath {
+				_, _ = io.WriteString(w, stateJSON)
+				return
+			}
+			w.Header().Set("Location", "/other")
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, body)
+		}
+	}
+	for name, handler := range map[string]http.HandlerFunc{
+		"status":   respond(http.StatusNotFound, stateJSON),
+		"redirect": respond(http.StatusFound, ""),
+		"object":   respond(http.StatusOK, `{}`),
+		"null":     respond(http.StatusOK, `null`),
+		"age":      respond(http.StatusOK, `{"Revision":7,"age_ms":-60000}`),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			got, err := fetchFrom(t, handler)
+			var fetchErr *FetchError
+			is.True(errors.As(err, &fetchErr))
+			is.Equal(got.at, boottime.Instant(0)) // nothing adopted
+		})
+	}
+	is := is.New(t)
+	got, err := fetchFrom(t, respond(http.StatusOK, stateJSON))
+	is.NoErr(err)
+	is.Equal(got.state.Revision, int64(7))
+}
