gateway/peers: counts of a reordered datagram are ignored

Requests were sent to servers at their load limit, and one that crashes servers could run once more. No accepted request is lost by it.

Cause: recordMessage noticed the order, but only for the sender's own state; the age of relayed states is counted from the arrival, so that a late one looks newer.

Change: a message that is not the latest of its sender sets no counts and no states.

--- a/gateway/peers/exchange.go
+++ b/gateway/peers/exchange.go
@@ -212,20 +212,27 @@
 	if cbor.Unmarshal(b[headerBytes:], &m) != nil {
 		return // not sent by a daemon
 	}
-	e.table.recordMessage(ip, h, &m)
+	if e.table.recordMessage(ip, h, &m) {
+		e.setCounts(ip, &m)
+	}
+	e.cacheIndex.Merge(m.CacheUpdates, e.table.LargeFleet())
+	e.syncCatalog(ctx, ip, h, &m)
+	if m.Reply {
+		e.write(e.table.target(ip), encode(e.message()))
+	}
+}
+
+// setCounts replaces the counts of a daemon by those of its latest message, and
+// those of the daemons that it relays if they are newer.
+func (e *Exchange) setCounts(ip string, m *Message) {
 	e.loads.SetPeer(ip, inFlightByServer(m.InFlight))
+	e.quarantine.Merge(ip, m.CrashCounts)
 	for i := range m.Relayed {
 		o := &m.Relayed[i]
 		if e.table.recordRelayed(o) && m.RelayedInFlight {
 			e.loads.SetPeer(o.IP, inFlightByServer(o.InFlight))
 		}
 	}
-	e.quarantine.Merge(ip, m.CrashCounts)
-	e.cacheIndex.Merge(m.CacheUpdates, e.table.LargeFleet())
-	e.syncCatalog(ctx, ip, h, &m)
-	if m.Reply {
-		e.write(e.table.target(ip), encode(e.message()))
-	}
 }
 
 // syncCatalog applies a peer's confirmation to the catalog, or fetches the peer's
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -336,21 +336,22 @@
 	crossZone   bool // in another availability zone, or the zone is not known yet
 }
 
-// recordMessage records a message received from a daemon. A message that is older
-// than the latest one is ignored.
-func (t *Table) recordMessage(ip string, h header, m *Message) {
+// recordMessage records a message received from a daemon. It returns false and
+// records nothing if the message is older than the latest one.
+func (t *Table) recordMessage(ip string, h header, m *Message) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.add(ip)
 	if p == nil {
-		return
+		return false
 	}
 	if p.incarnation == h.incarnation && h.sentAt < p.lastSentAt {
-		return // reordered in transit
+		return false // reordered in transit
 	}
 	p.incarnation, p.lastSentAt = h.incarnation, h.sentAt
 	p.lastSeen = t.clock()
 	p.State, p.inFlight = m.State, m.InFlight
+	return true
 }
 
 // recordRelayed records what a peer relays about a third daemon. It returns false
