gateway/peers: seeds of reloaded settings do not expire

If the daemons that it had known from its start were gone, it could not find the fleet again after a longer partition: its load counts, cache index and retry budget stayed those of a fleet of one, until a restart. No accepted request is lost by it directly.

Cause: only the seeds of the first settings were exempt from expiry.

Change: the seeds of the latest reload stay, too. The next reload replaces them, so that addresses of daemons that were replaced get no datagrams for ever.

--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -126,6 +126,7 @@
 
 	mu             sync.Mutex
 	peers          map[string]*Peer
+	reloadedSeeds  []string // IP addresses, of the latest reload
 	storeReachable bool
 	peakSize       int              // peak number of alive daemons, including this one
 	peakSizeAt     boottime.Instant // when the peak was last reached
@@ -140,11 +141,12 @@
 	return t
 }
 
-// AddSeeds adds further daemons to contact. Unlike the seeds of Self they are
-// removed if they do not respond.
+// AddSeeds adds the seeds of reloaded settings. Like those of Self they stay in the
+// table while they do not respond, until the next call.
 func (t *Table) AddSeeds(ips []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.reloadedSeeds = slices.Clone(ips)
 	for _, ip := range ips {
 		t.add(ip)
 	}
@@ -165,6 +167,11 @@
 	return p
 }
 
+// isSeed reports whether a daemon is a seed. The caller must hold t.mu.
+func (t *Table) isSeed(ip string) bool {
+	return slices.Contains(t.self.Seeds, ip) || slices.Contains(t.reloadedSeeds, ip)
+}
+
 // Interval returns the time between two gossip rounds.
 func (t *Table) Interval() time.Duration {
 	const small, large = 100 * time.Millisecond, 250 * time.Millisecond
@@ -288,7 +295,7 @@
 	now := t.clock()
 	list := make([]target, 0, len(t.peers))
 	for ip, p := range t.peers {
-		if now.Sub(max(p.lastSeen, p.lastMentioned)) > peerExpiry && !slices.Contains(t.self.Seeds, ip) {
+		if now.Sub(max(p.lastSeen, p.lastMentioned)) > peerExpiry && !t.isSeed(ip) {
 			delete(t.peers, ip)
 			continue
 		}
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -366,3 +367,26 @@
 	t.Cleanup(func() { e.conn.Close() })
 	return e
 }
+
+// Load pattern: all daemons that the settings named at the start have been replaced,
+// and this one is partitioned for longer than peerExpiry. The seeds of the reloaded
+// settings are its only way back to the fleet.
+func TestAddSeeds_AreKeptUntilNextReload(t *testing.T) {
+	is := is.New(t)
+	ck := &fakeClock{now: 1}
+	table := NewTable(Self{IP: "10.0.0.1", Seeds: []string{"10.0.0.2"}}, ck.read, catalog.New(ck.read))
+	targets := func() []string {
+		var ips []string
+		for _, to := range table.targets() {
+			ips = append(ips, to.ip)
+		}
+		slices.Sort(ips)
+		return ips
+	}
+	table.AddSeeds([]string{"10.0.0.3", "10.0.0.4"})
+	ck.now = ck.now.Add(2 * peerExpiry)
+	is.Equal(targets(), []string{"10.0.0.2", "10.0.0.3", "10.0.0.4"})
+	table.AddSeeds([]string{"10.0.0.4"})
+	ck.now = ck.now.Add(2 * peerExpiry)
+	is.Equal(targets(), []string{"10.0.0.2", "10.0.0.4"}) // 10.0.0.3 is no longer a seed
+}
