gateway/reader: a document that can't be decoded is decoded once

What could happen: while the store held a configuration that can't be decoded, the two regular readers decoded it (up to 1 MiB) and logged configuration_rejected at each poll, twice a second, until the operators published the next one. No request is lost by it; processor time and log lines are.

Cause: only a document that is in force was remembered.

Evidence, the new test on the code before: reader_test.go: 3 != 1 --- FAIL: TestPoll_DecodesRejectedDocumentOnce Ruled out: the same memory for documents of peers, which would let a document that was damaged on the way hide the sound one of the same revision in the store.

Change: the store revision of the rejected document is kept.

--- a/gateway/reader/reader.go
+++ b/gateway/reader/reader.go
@@ -116,6 +116,7 @@
 	firstPollAt  boottime.Instant // earliest time of the first poll
 	retained     []catalog.Server // in the catalog until retainUntil even if the store no longer lists them
 	retainUntil  boottime.Instant
+	rejectedRev  int64 // store revision of the last document that could not be decoded
 }
 
 // New returns a reader. It does not poll before Run is called.
@@ -240,16 +241,27 @@
 		Raw:      u.Config,
 		Servers:  r.withRetained(u.Servers),
 	}
-	table, err := r.table(&state)
-	if err != nil {
-		r.log.ConfigRejected(err, u.ConfigRev)
-	}
+	table := r.publishedTable(&state)
 	before := r.catalog.View()
 	if r.catalog.Adopt(state, table, u.SentAt) {
 		r.logChange("store", before)
 	}
 }
 
+// publishedTable is table for a state of the store. It returns nil if the document
+// can't be decoded, and does not decode it again at the next poll.
+func (r *Reader) publishedTable(s *catalog.State) *route.Table {
+	if s.RawRev == r.rejectedRev {
+		return nil
+	}
+	table, err := r.table(s)
+	if err != nil {
+		r.rejectedRev = s.RawRev
+		r.log.ConfigRejected(err, s.RawRev)
+	}
+	return table
+}
+
 // logChange logs the adoption of a state unless its contents equal the previous
 // ones.
 func (r *Reader) logChange(origin string, before *catalog.View) {
--- a/gateway/reader/reader_test.go
+++ b/gateway/reader/reader_test.go
@@ -17,11 +17,13 @@
 	update    Update
 	err       error
 	decodeErr error
+	decoded   int // calls of DecodeConfig
 }
 
 func (s *fakeStore) Poll(context.Context) (Update, error) { return s.update, s.err }
 
 func (s *fakeStore) DecodeConfig([]byte) (*route.Config, error) {
+	s.decoded++
 	if s.decodeErr != nil {
 		return nil, s.decodeErr
 	}
@@ -236,3 +238,25 @@
 	f.AdoptFromPeer("p", catalog.State{Revision: 12, RawRev: 12, Raw: []byte("doc")}, f.now)
 	is.Equal(f.catalog.View().Table.Version(), int64(1))
 }
+
+// A document that can't be decoded stays in the store until the next one: it must not
+// be decoded and logged at each poll, and must not hide a later or a peer's document.
+func TestPoll_DecodesRejectedDocumentOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.store.decodeErr = errDown
+	for revision := range int64(3) {
+		f.publish(revision+1, "a")
+	}
+	is.Equal(f.store.decoded, 1)
+	is.Equal(f.log.rejected, 1)
+	is.Equal(f.servers(), 1) // the servers are in force all the same
+
+	f.store.decodeErr = nil
+	f.AdoptFromPeer("10.0.0.2", catalog.State{Revision: 4, Raw: []byte("doc"), RawRev: 1}, f.now)
+	is.True(f.catalog.View().Table != nil)
+
+	f.store.update = Update{Revision: 5, SentAt: f.now, Config: []byte("doc"), ConfigRev: 5}
+	f.poll(t.Context())
+	is.Equal(f.catalog.View().Table.Version(), int64(5))
+}
