gateway/cacheindex: the age of an entry grows while it waits to be sent

What could happen: an entry that was relayed through a large fleet kept the age that it had at its first sending. The index is a hint: prompts are computed again, no request is lost.

Cause: the queue kept the age as received.

Evidence, the new test on the code before: cacheindex_test.go:257: {{} 1 1 5000} != {{} 1 1 6000} --- FAIL: TestNextEntries_AgeGrowsWhileQueued

Change: the time in the queue is added when the entry is sent. The values that stand for "still to be computed" and "not computed" stay as they are.

--- a/gateway/cacheindex/cacheindex.go
+++ b/gateway/cacheindex/cacheindex.go
@@ -61,7 +61,17 @@
 // queuedUpdate is an entry that waits to be sent to peers.
 type queuedUpdate struct {
 	Entry
-	sends int // messages that carried it
+	queued time.Time
+	sends  int // messages that carried it
+}
+
+// aged returns the entry with its age at a given time.
+func (u *queuedUpdate) aged(now time.Time) Entry {
+	e := u.Entry
+	if e.AgeMS != 0 && e.AgeMS != ageNotComputed {
+		e.AgeMS += uint32(max(now.Sub(u.queued), 0).Milliseconds())
+	}
+	return e
 }
 
 // holding is the state of a part at one holder.
@@ -222,7 +232,7 @@
 		x.dropped++
 		return
 	}
-	x.updates = append(x.updates, queuedUpdate{Entry: e})
+	x.updates = append(x.updates, queuedUpdate{Entry: e, queued: x.now()})
 }
 
 // DroppedUpdates returns the number of updates since the start that were
@@ -372,8 +382,9 @@
 func (x *Index) takeUpdates(subset bool) []Entry {
 	entries := make([]Entry, 0, len(x.updates))
 	kept := x.updates[:0]
+	now := x.now()
 	for _, u := range x.updates {
-		entries = append(entries, u.Entry)
+		entries = append(entries, u.aged(now))
 		u.sends++
 		if subset && u.sends < updateSends {
 			kept = append(kept, u)
--- a/gateway/cacheindex/cacheindex_test.go
+++ b/gateway/cacheindex/cacheindex_test.go
@@ -239,3 +239,26 @@
 	}
 	is.True(100*unknown <= daemons*prompts)
 }
+
+// In a large fleet an entry waits in queues and is sent several times, by daemon
+// after daemon. It must not look as recently used at the last as at the first.
+func TestNextEntries_AgeGrowsWhileQueued(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	x := New(func() time.Time { return now })
+	const received = 5000 // milliseconds
+	x.Merge([]Entry{
+		{Part: KeyOf(system), Holder: 1, AgeMS: received},
+		{Part: KeyOf(subject), Holder: 1}, // still to be computed
+	}, true)
+	for sends := range updateSends {
+		now = now.Add(time.Second)
+		entries := x.NextEntries(Recipients{Subset: true})
+		is.Equal(entries[0], Entry{Part: KeyOf(system), Holder: 1, AgeMS: uint32(received + 1000*(sends+1))})
+		is.Equal(entries[1], Entry{Part: KeyOf(subject), Holder: 1})
+	}
+	x.MarkPending([]call.Part{{ID: 3, Tokens: 1}}, 1)
+	x.MarkRefused([]call.Part{{ID: 3, Tokens: 1}}, 1)
+	now = now.Add(time.Second)
+	is.Equal(x.NextEntries(Recipients{})[1].AgeMS, uint32(ageNotComputed))
+}
