fleet/backend: the headers of a response are bounded

What could happen: a backend server in trouble that sends headers or interim responses without end took 10 MB of a daemon's memory for each request, load report and order in progress at it. Many at once end the process with all that it has accepted.

Cause: the default limit of net/http, which counts interim responses too.

Evidence, the new tests on the code before: limits_test.go:77: internal != backend_failed --- FAIL: TestClientDoRejectsLargeHead: headers, header, 1xx, each for idempotent and other calls limits_test.go:96: not true: err != nil --- FAIL: TestClientReportAndOrderRejectLargeHead: headers, header, 1xx Ruled out by tests that passed before and stay: a load report without end (64 KiB) or whose end does not arrive (context), and a body or a stream with a line without end (forwarded in parts of at most 32 KiB until the deadline).

Change: a limit of 64 KiB, as large as the default for callers' headers. A request whose response exceeds it may have run and is reported so.

--- a/fleet/backend/client.go
+++ b/fleet/backend/client.go
@@ -30,6 +30,7 @@
 	dialTimeout       = 2 * time.Second
 	idleConnTimeout   = 30 * time.Second
 	maxIdlePerServer  = 64
+	maxHeaderBytes    = 64 << 10 // of a response, with those of interim (1xx) responses
 	maxReportBytes    = 64 << 10
 	orderTimeout      = 10 * time.Second
 	responseBufferLen = 16 << 10 // of a response that is not streamed
@@ -79,17 +80,19 @@
 func NewClient(wrapControl func(net.Conn) net.Conn) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	pooled := &http.Transport{
-		DialContext:         countingDial(dialer),
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: maxIdlePerServer,
-		IdleConnTimeout:     idleConnTimeout,
+		DialContext:            countingDial(dialer),
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdlePerServer,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	// http.Transport retries a request by itself only if it was sent on a reused
 	// connection. Without keep-alive, a call that is not idempotent is sent once.
 	single := &http.Transport{
-		DialContext:        countingDial(dialer),
-		DisableCompression: true,
-		DisableKeepAlives:  true,
+		DialContext:            countingDial(dialer),
+		DisableCompression:     true,
+		DisableKeepAlives:      true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	control := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -99,7 +102,8 @@
 			}
 			return conn, err
 		},
-		IdleConnTimeout: idleConnTimeout,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	return &Client{
 		pooled:  pooled,
--- /dev/null
+++ b/fleet/backend/limits_test.go
@@ -0,0 +1,172 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cassialatch.dev/outcome"
+	"cassialatch.dev/wire/engineapi"
+)
+
+// hangTimeout ends a call that would otherwise last for ever.
+const hangTimeout = 20 * time.Second
+
+// sendRaw is a backend server that responds to the first request with the given
+// bytes. It returns its address and a channel that is closed when the client has
+// closed the connection.
+func sendRaw(t *testing.T, response string) (address string, closed <-chan struct{}) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	done := make(chan struct{})
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer close(done)
+		defer conn.Close()
+		in := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, response)
+		_, _ = io.Copy(io.Discard, in) // until the client closes the connection
+	}()
+	return listener.Addr().String(), done
+}
+
+// largeHeads are responses with more headers than the limit, each with the end of a
+// sound response.
+func largeHeads(end string) map[string]string {
+	fill := func(s string) string { return strings.Repeat(s, maxHeaderBytes/len(s)+1) }
+	return map[string]string{
+		"headers": "HTTP/1.1 200 OK\r\n" + fill("A: b\r\n") + end,
+		"header":  "HTTP/1.1 200 OK\r\nA: " + fill("b") + "\r\n" + end,
+		"1xx":     fill("HTTP/1.1 103 Early Hints\r\n\r\n") + "HTTP/1.1 200 OK\r\n" + end,
+	}
+}
+
+// A server in trouble sends interim responses or headers without end.
+func TestClientDoRejectsLargeHead(t *testing.T) {
+	for name, response := range largeHeads("Content-Length: 2\r\n\r\n{}") {
+		for _, idempotent := range []bool{true, false} {
+			t.Run(name, func(t *testing.T) {
+				is := is.New(t)
+				address, closed := sendRaw(t, response)
+				client := NewClient(nil)
+				defer client.Close()
+				ctx, cancel := context.WithTimeout(t.Context(), hangTimeout)
+				defer cancel()
+				sink := &fakeSink{}
+				_, err := client.Do(ctx, Call{Address: address, Method: http.MethodGet, Path: "/", Idempotent: idempotent}, sink)
+				e := outcome.From(err)
+				is.Equal(e.Outcome, outcome.Unknown)
+				is.Equal(e.Code, outcome.CodeBackendFailed)
+				is.Equal(sink.heads, 0)
+				<-closed
+			})
+		}
+	}
+}
+
+// A load report or the response to an order from a server in trouble.
+func TestClientReportAndOrderRejectLargeHead(t *testing.T) {
+	for name, response := range largeHeads("Content-Length: 2\r\n\r\n{}") {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			client := NewClient(nil)
+			defer client.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), hangTimeout)
+			defer cancel()
+			address, closed := sendRaw(t, response)
+			_, err := client.Report(ctx, address)
+			is.True(err != nil)
+			<-closed
+			address, closed = sendRaw(t, response)
+			is.True(client.Order(ctx, address, engineapi.Order{}) != nil)
+			<-closed
+		})
+	}
+}
+
+// A load report without end, or one whose end does not arrive.
+func TestClientReportEndsEarly(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n\r\n"
+	t.Run("endless", func(t *testing.T) {
+		is := is.New(t)
+		client := NewClient(nil)
+		defer client.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), hangTimeout)
+		defer cancel()
+		address, closed := sendRaw(t, head+`{"instance":"`+strings.Repeat("x", 2*maxReportBytes))
+		_, err := client.Report(ctx, address)
+		is.True(err != nil)
+		is.NoErr(ctx.Err())
+		<-closed
+	})
+	t.Run("trickle", func(t *testing.T) {
+		is := is.New(t)
+		client := NewClient(nil)
+		defer client.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		address, closed := sendRaw(t, head+`{"instance":"`)
+		_, err := client.Report(ctx, address)
+		is.True(errors.Is(err, context.DeadlineExceeded))
+		<-closed
+	})
+}
+
+// A body without end is forwarded in small parts until the deadline of the call.
+func TestClientDoEndsEndlessBodyAtDeadline(t *testing.T) {
+	for _, contentType := range []string{eventStream, "application/json"} {
+		t.Run(contentType, func(t *testing.T) {
+			is := is.New(t)
+			closed := make(chan struct{})
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				defer close(closed)
+				w.Header().Set("Content-Type", contentType)
+				for r.Context().Err() == nil {
+					_, _ = io.WriteString(w, strings.Repeat("x", 1<<10)) // a line without end
+				}
+			}))
+			defer server.Close()
+			client := NewClient(nil)
+			defer client.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+			defer cancel()
+			sink := &partSink{}
+			_, err := client.Do(ctx, Call{Address: server.Listener.Addr().String(), Method: http.MethodGet, Path: "/"}, sink)
+			e := outcome.From(err)
+			is.Equal(e.Outcome, outcome.Unknown)
+			is.Equal(e.Code, outcome.CodeDeadlineExceeded)
+			is.True(sink.largest <= 2*responseBufferLen)
+			<-closed
+		})
+	}
+}
+
+// partSink records the largest part that it receives.
+type partSink struct{ largest int }
+
+// Head implements Sink.
+func (*partSink) Head(int, http.Header) error { return nil }
+
+// Data implements Sink.
+func (s *partSink) Data(p []byte) error {
+	s.largest = max(s.largest, len(p))
+	return nil
+}
