fleet/backend: redirects of load reports and orders are not followed

What could happen: a backend server that answers a load report or an order with a redirect made the home ask, or order, the server at the address that it named: that one's load was taken for the first one's, and with the statuses 307 and 308 it received the order. A report of another process also looks like a crash, which counts against the request that was in flight.

Cause: http.Client follows redirects unless it is told otherwise.

Evidence, the new test on the code before: limits_test.go:190: not true: IsStatusError(err) --- FAIL: TestClientFollowsNoRedirect Ruled out: requests of callers, which are sent by the transport itself and return a redirect as the response.

Change: a redirect is a StatusError.

--- a/fleet/backend/client.go
+++ b/fleet/backend/client.go
@@ -108,10 +108,13 @@
 	return &Client{
 		pooled:  pooled,
 		single:  single,
-		control: &http.Client{Transport: control},
+		control: &http.Client{Transport: control, CheckRedirect: noRedirect},
 	}
 }
 
+// noRedirect is a CheckRedirect function that returns a redirect as the response.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Close closes idle connections.
 func (c *Client) Close() {
 	c.pooled.CloseIdleConnections()
--- a/fleet/backend/limits_test.go
+++ b/fleet/backend/limits_test.go
@@ -170,3 +170,24 @@
 	s.largest = max(s.largest, len(p))
 	return nil
 }
+
+// A redirect must not make a daemon take another server's load report for that of
+// the server it asked, or send the order to another server.
+func TestClientFollowsNoRedirect(t *testing.T) {
+	is := is.New(t)
+	asked := make(chan string, 2)
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.URL.Path
+		_, _ = io.WriteString(w, "{}")
+	}))
+	defer other.Close()
+	server := httptest.NewServer(http.RedirectHandler(other.URL, http.StatusTemporaryRedirect))
+	defer server.Close()
+	client := NewClient(nil)
+	defer client.Close()
+	address := server.Listener.Addr().String()
+	_, err := client.Report(t.Context(), address)
+	is.True(IsStatusError(err))
+	is.True(IsStatusError(client.Order(t.Context(), address, engineapi.Order{})))
+	is.Equal(len(asked), 0)
+}
