fleet/node: the headers of the platform's responses are bounded

What could happen: a platform in trouble that sends headers or interim responses without end took 10 MB of a daemon's memory for each of the three resources that a daemon reads at once.

Cause: the default limit of net/http. Bodies were limited already (4 MiB), and each call has a timeout that covers the body.

Change: a limit of 64 KiB. The daemon reads from the next address then.

--- a/fleet/node/run.go
+++ b/fleet/node/run.go
@@ -203,6 +203,10 @@
 	return n.meter.Conn(traffic.KindPeer, conn)
 }
 
+// maxPlatformHeaderBytes limits the headers of a response of the platform, with
+// those of interim (1xx) responses.
+const maxPlatformHeaderBytes = 64 << 10
+
 // platformTransport returns the HTTP transport for requests to the platform. It
 // counts their traffic.
 func (n *Node) platformTransport() http.RoundTripper {
@@ -215,5 +219,6 @@
 			}
 			return n.meter.Conn(traffic.KindPlatform, conn), nil
 		},
+		MaxResponseHeaderBytes: maxPlatformHeaderBytes,
 	}
 }
