cassialatch: the headers of a daemon's response are bounded

What could happen: the operators' tool stored up to 10 MB of headers or interim responses of whatever is at the address of a daemon.

Cause: the default limit of net/http. Bodies were limited already, and a call has a timeout that covers the body.

Change: a limit of 64 KiB; the error is an UnreachableError.

--- a/cassialatch/internal/daemonclient/client.go
+++ b/cassialatch/internal/daemonclient/client.go
@@ -15,6 +15,7 @@
 
 const (
 	callTimeout      = 10 * time.Second
+	maxHeaderBytes   = 64 << 10 // of a response, with those of interim (1xx) responses
 	maxResponseBytes = 64 << 20
 	maxErrorBytes    = 64 << 10
 )
--- a/cassialatch/internal/daemonclient/options.go
+++ b/cassialatch/internal/daemonclient/options.go
@@ -38,7 +38,7 @@
 	if err := o.check(); err != nil {
 		return nil, err
 	}
-	transport := &http.Transport{}
+	transport := &http.Transport{MaxResponseHeaderBytes: maxHeaderBytes}
 	client := &Client{address: o.Address, scheme: "http", http: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
 	if o.TLSOff {
 		return client, nil
