fleet/home: a load report that can't be decoded is no crash

What callers could see: a request that failed at a backend server in trouble, which answers load reports with bytes that are no report, was counted as one that crashed the server. It had to run alone next, and after a second such failure it was refused for ten minutes, though no server had crashed.

Cause: any failure of the report other than a status counted as "no HTTP response", against what hasCrashed documents.

Evidence, the new test on the code before: report_test.go:80: true != false --- FAIL: TestRunner_CrashNeedsMissingResponseOrNewInstance: wrong_type, no_object, too_long, no_JSON, empty The cases "new instance", "no response" and "broken off", which are crashes, passed before and after.

Change: a response that is complete but no load report, or that exceeds its limit, is a ReportError. HasResponded takes the place of IsStatusError and covers both.

--- a/fleet/backend/client.go
+++ b/fleet/backend/client.go
@@ -205,7 +205,9 @@
 	return outcome.NewUnknown(outcome.CodeResponseMismatch, message)
 }
 
-// Report fetches the load report of the backend server at address (host:port).
+// Report fetches the load report of the backend server at address (host:port). It
+// returns a StatusError, a ReportError or, if the server sent no complete response,
+// another error.
 func (c *Client) Report(ctx context.Context, address string) (engineapi.LoadReport, error) {
 	var report engineapi.LoadReport
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/load", nil)
@@ -220,8 +222,18 @@
 	if resp.StatusCode != http.StatusOK {
 		return report, &StatusError{Address: address, Status: resp.StatusCode}
 	}
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(&report)
-	return report, errors.Wrap(err, "backend: decode load report")
+	body, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxReportBytes))
+	var tooLarge *http.MaxBytesError
+	if err != nil && !errors.As(err, &tooLarge) {
+		return report, errors.Wrap(err, "backend: read load report")
+	}
+	if err == nil {
+		err = json.NewDecoder(bytes.NewReader(body)).Decode(&report)
+	}
+	if err != nil {
+		return engineapi.LoadReport{}, &ReportError{Address: address, Cause: err}
+	}
+	return report, nil
 }
 
 // Order sends an order to the model engine at address (host:port).
@@ -260,11 +272,26 @@
 	return fmt.Sprintf("backend: server %s responded with status %d", e.Address, e.Status)
 }
 
-// IsStatusError reports whether err is a StatusError, which means that the
-// backend server is reachable.
-func IsStatusError(err error) bool {
+// ReportError reports that a load report can't be decoded or is too large.
+type ReportError struct {
+	Address string
+	Cause   error
+}
+
+// Error implements error.
+func (e *ReportError) Error() string {
+	return fmt.Sprintf("backend: load report of server %s: %v", e.Address, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ReportError) Unwrap() error { return e.Cause }
+
+// HasResponded reports whether err is a StatusError or a ReportError, which means
+// that the backend server is reachable.
+func HasResponded(err error) bool {
 	var status *StatusError
-	return errors.As(err, &status)
+	var report *ReportError
+	return errors.As(err, &status) || errors.As(err, &report)
 }
 
 // IsNotFound reports whether err is a StatusError with status 404, which means
--- a/fleet/backend/limits_test.go
+++ b/fleet/backend/limits_test.go
@@ -113,7 +113,8 @@
 		defer cancel()
 		address, closed := sendRaw(t, head+`{"instance":"`+strings.Repeat("x", 2*maxReportBytes))
 		_, err := client.Report(ctx, address)
-		is.True(err != nil)
+		var invalid *ReportError
+		is.True(errors.As(err, &invalid))
 		is.NoErr(ctx.Err())
 		<-closed
 	})
@@ -187,7 +188,8 @@
 	defer client.Close()
 	address := server.Listener.Addr().String()
 	_, err := client.Report(t.Context(), address)
-	is.True(IsStatusError(err))
-	is.True(IsStatusError(client.Order(t.Context(), address, engineapi.Order{})))
+	var status *StatusError
+	is.True(errors.As(err, &status))
+	is.True(errors.As(client.Order(t.Context(), address, engineapi.Order{}), &status))
 	is.Equal(len(asked), 0)
 }
--- a/fleet/home/execute.go
+++ b/fleet/home/execute.go
@@ -168,7 +168,7 @@
 	defer cancel()
 	report, err := n.home.opts.Client.Report(ctx, n.vm.Address)
 	if err != nil {
-		return !backend.IsStatusError(err)
+		return !backend.HasResponded(err)
 	}
 	return instanceBefore != nil && *instanceBefore != report.Instance
 }
--- a/fleet/home/report_test.go
+++ b/fleet/home/report_test.go
@@ -1,8 +1,10 @@
 package home
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -40,3 +42,42 @@
 		})
 	}
 }
+
+// A server in trouble that sends bytes which are no load report has not crashed: the
+// requests in flight must not be refused later because of it.
+func TestRunner_CrashNeedsMissingResponseOrNewInstance(t *testing.T) {
+	respond := func(body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) }
+	}
+	for name, tc := range map[string]struct {
+		handler http.HandlerFunc
+		crashed bool
+	}{
+		"same instance": {respond(`{"instance":"a"}`), false},
+		"new instance":  {respond(`{"instance":"b"}`), true},
+		"no JSON":       {respond("\x00\x01"), false},
+		"wrong type":    {respond(`{"instance":7}`), false},
+		"no object":     {respond(`[]`), false},
+		"empty":         {respond(""), false},
+		"too long":      {respond(`{"instance":"` + strings.Repeat("x", 1<<20)), false},
+		"status":        {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) }, false},
+		"no response":   {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, true},
+		"broken off": {func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, `{"instance":`)
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewServer(tc.handler)
+			defer server.Close()
+			client := backend.NewClient(nil)
+			defer client.Close()
+			h := New(t.Context(), Options{Client: client, Shares: lease.NewShares(time.Now), Now: time.Now})
+			n := newRunner(h, platformapi.VM{ID: "arkiv-0", Address: server.Listener.Addr().String()}, rules{maxInFlight: 4})
+			before := "a"
+			is.Equal(n.hasCrashed(t.Context(), &before), tc.crashed)
+		})
+	}
+}
