--- a/gateway/peers/fetch.go
+++ b/gateway/peers/fetch.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -53,12 +54,14 @@
 	return p.packed
 }
 
-// unpack decompresses the document into State.Raw.
+// unpack decompresses the document into State.Raw. It returns an error of type
+// *http.MaxBytesError for a document of more than maxDocument bytes.
 func (r *stateResponse) unpack() error {
 	if len(r.Packed) == 0 {
 		return nil
 	}
-	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(r.Packed)), maxDocument))
+	document := flate.NewReader(bytes.NewReader(r.Packed))
+	raw, err := io.ReadAll(http.MaxBytesReader(nil, document, maxDocument))
 	r.Raw, r.Packed = raw, nil
 	return err
 }
@@ -109,17 +112,47 @@
 }
 
 const (
-	fetchTimeout = 1200 * time.Millisecond
-	maxDocument  = 16 << 20 // bytes, decompressed
+	fetchTimeout   = 1200 * time.Millisecond
+	maxHeaderBytes = 16 << 10 // of a response, with those of interim (1xx) responses
+	maxStateBytes  = 8 << 20  // of a response, with the compressed document
+	maxDocument    = 16 << 20 // bytes, decompressed
 )
 
+// errNotConfirmed is the cause of a FetchError for a response that is not a
+// confirmed state.
+var errNotConfirmed = errors.New("response is not a confirmed state")
+
+// FetchError is returned when the state of a peer can't be fetched.
+type FetchError struct {
+	IP     string
+	Status int   // HTTP status; 0 if it was 200 or there was no response
+	Cause  error // of type *http.MaxBytesError if the response is too large
+}
+
+// Error implements error.
+func (e *FetchError) Error() string {
+	if e.Status != 0 {
+		return fmt.Sprintf("peers: GET %s from %s: status %d", statePath, e.IP, e.Status)
+	}
+	return fmt.Sprintf("peers: GET %s from %s: %v", statePath, e.IP, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *FetchError) Unwrap() error { return e.Cause }
+
 // NewFetcher returns a fetcher that connects to peers at the given port and passes
 // their states to the adopter.
 func NewFetcher(c *catalog.Catalog, clock boottime.Clock, port string, a Adopter) *HTTPFetcher {
 	return &HTTPFetcher{
 		client: &http.Client{
-			Timeout:   fetchTimeout,
-			Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 20 * time.Second, DisableCompression: true},
+			Timeout: fetchTimeout,
+			Transport: &http.Transport{
+				MaxIdleConnsPerHost:    1,
+				IdleConnTimeout:        20 * time.Second,
+				DisableCompression:     true,
+				MaxResponseHeaderBytes: maxHeaderBytes,
+			},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 		catalog: c,
 		clock:   clock,
@@ -143,26 +176,48 @@
 
 // fetch fetches the state of a peer and passes it to the adopter. The confirmation
 // is dated from the start of the request, so it never appears fresher than it is.
+// Errors are of type *FetchError.
 func (f *HTTPFetcher) fetch(ctx context.Context, ip string) error {
 	sent := f.clock()
+	response, err := f.get(ctx, ip)
+	if err != nil {
+		return err
+	}
+	at := sent.Add(-time.Duration(response.AgeMS) * time.Millisecond)
+	f.adopter.AdoptFromPeer(ip, response.State, at)
+	return nil
+}
+
+// get requests the state of a peer. Errors are of type *FetchError.
+func (f *HTTPFetcher) get(ctx context.Context, ip string) (*stateResponse, error) {
 	url := fmt.Sprintf("http://%s:%s%s?config=%d", ip, f.port, statePath, f.catalog.State().RawRev)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return err
+		return nil, &FetchError{IP: ip, Cause: err}
 	}
 	resp, err := f.client.Do(req)
 	if err != nil {
-		return err
+		return nil, &FetchError{IP: ip, Cause: err}
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, &FetchError{IP: ip, Status: resp.StatusCode}
+	}
+	response, err := decodeResponse(resp.Body)
+	if err != nil {
+		return nil, &FetchError{IP: ip, Cause: err}
+	}
+	return response, nil
+}
+
+// decodeResponse decodes a state and its configuration document.
+func decodeResponse(body io.ReadCloser) (*stateResponse, error) {
 	var response stateResponse
-	if err := json.NewDecoder(resp.Body).Decode(&response); err != nil {
-		return err
+	if err := json.NewDecoder(http.MaxBytesReader(nil, body, maxStateBytes)).Decode(&response); err != nil {
+		return nil, err
 	}
-	if err := response.unpack(); err != nil {
-		return err
+	if response.Revision <= 0 || response.AgeMS < 0 {
+		return nil, errNotConfirmed
 	}
-	at := sent.Add(-time.Duration(response.AgeMS) * time.Millisecond)
-	f.adopter.AdoptFromPeer(ip, response.State, at)
-	return nil
+	return &response, response.unpack()
 }
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"cassialatch.dev/gateway/boottime"
 	"cassialatch.dev/gateway/cacheindex"
+	"cassialatch.dev/gateway/call"
 	"cassialatch.dev/gateway/catalog"
 	"cassialatch.dev/gateway/load"
 	"cassialatch.dev/gateway/quarantine"
@@ -146,6 +148,43 @@
 	is.Equal(work[0].Requests, 2*maxRelayed)
 }
 
+// A datagram that the network delivers after a later one must not bring back the
+// sender's earlier in-flight requests and crash counts, nor what it relayed then. Its
+// cache updates are not repeated, so they are still used.
+func TestHandle_IgnoresCountsOfReorderedDatagram(t *testing.T) {
+	is := is.New(t)
+	ck := &fakeClock{now: boottime.Instant(10 * time.Second)}
+	e, _ := newExchange(ck)
+	const server, fingerprint = 5, 6
+	message := func(requests, crashes int) *Message {
+		inFlight := []InFlight{{Server: server, Requests: requests}}
+		return &Message{
+			InFlight:        inFlight,
+			CrashCounts:     []quarantine.Count{{Fingerprint: fingerprint, Crashes: crashes}},
+			CacheUpdates:    []cacheindex.Entry{{Part: cacheindex.PartKey(requests), Holder: server, AgeMS: 1}},
+			Relayed:         []RelayedPeer{{IP: "10.0.0.3", State: State{Leaving: requests == 1}, InFlight: inFlight}},
+			RelayedInFlight: true,
+		}
+	}
+	later := datagram(t, header{incarnation: 1, sentAt: 2}, message(1, 99))
+	earlier := datagram(t, header{incarnation: 1, sentAt: 1}, message(9, 0))
+	e.handle(t.Context(), "10.0.0.2", later)
+	ck.now = ck.now.Add(time.Second)
+	e.handle(t.Context(), "10.0.0.2", earlier)
+	work := make([]load.Work, 1)
+	e.loads.InFlight([]uint32{server}, work)
+	is.Equal(work[0].Requests, 2) // one of the sender, one relayed
+	is.True(e.quarantine.ShouldRefuse(fingerprint))
+	is.True(e.table.peers["10.0.0.3"].Leaving)
+	coverage := make([]cacheindex.Coverage, 1)
+	e.cacheIndex.Lookup([]call.Part{{ID: 9, Tokens: 10}}, []cacheindex.Holder{server}, coverage)
+	is.Equal(coverage[0].MissingTokens, 0)
+	// A restarted daemon has a clock of its own.
+	e.handle(t.Context(), "10.0.0.2", datagram(t, header{incarnation: 2, sentAt: 1}, message(3, 0)))
+	e.loads.InFlight([]uint32{server}, work)
+	is.Equal(work[0].Requests, 6)
+}
+
 func FuzzDatagrams(f *testing.F) {
 	body, err := cbor.Marshal(&Message{Relayed: []RelayedPeer{{IP: "10.0.0.3", AgeMS: 5}}})
 	if err != nil {
@@ -328,3 +367,26 @@
 	t.Cleanup(func() { e.conn.Close() })
 	return e
 }
+
+// Load pattern: all daemons that the settings named at the start have been replaced,
+// and this one is partitioned for longer than peerExpiry. The seeds of the reloaded
+// settings are its only way back to the fleet.
+func TestAddSeeds_AreKeptUntilNextReload(t *testing.T) {
+	is := is.New(t)
+	ck := &fakeClock{now: 1}
+	table := NewTable(Self{IP: "10.0.0.1", Seeds: []string{"10.0.0.2"}}, ck.read, catalog.New(ck.read))
+	targets := func() []string {
+		var ips []string
+		for _, to := range table.targets() {
+			ips = append(ips, to.ip)
+		}
+		slices.Sort(ips)
+		return ips
+	}
+	table.AddSeeds([]string{"10.0.0.3", "10.0.0.4"})
+	ck.now = ck.now.Add(2 * peerExpiry)
+	is.Equal(targets(), []string{"10.0.0.2", "10.0.0.3", "10.0.0.4"})
+	table.AddSeeds([]string{"10.0.0.4"})
+	ck.now = ck.now.Add(2 * peerExpiry)
+	is.Equal(targets(), []string{"10.0.0.2", "10.0.0.4"}) // 10.0.0.3 is no longer a seed
+}
