ingress: test a request that still waits when the drain ends

Without that check a request that waits for the caches' contents after the start of the daemon is still sent, on an idle connection, and is then reported as unknown although it need not have run. The test on the code without the check: ingress_test.go:496: 502 != 503 --- FAIL: TestHandlerDoesNotSendRequestThatWaitsAtEndOfDrain

--- a/gateway/ingress/ingress_test.go
+++ b/gateway/ingress/ingress_test.go
@@ -476,6 +476,28 @@
 	is.Equal(resp.StatusCode, http.StatusOK)
 }
 
+// A request that still waits when the drain ends must be reported as not run, and
+// must not be sent any more.
+func TestHandlerDoesNotSendRequestThatWaitsAtEndOfDrain(t *testing.T) {
+	is := is.New(t)
+	b := startBackend(t, respondOK)
+	f := newFixture(t, b)
+	_, _, err := f.do(t, "/unsafe/x") // leaves an idle connection to the server
+	is.NoErr(err)
+	drained, endDrain := context.WithCancel(context.Background())
+	f.handler.Drained = drained
+	f.handler.CachesKnown = make(chan struct{})
+	f.handler.Draining = func() (time.Duration, bool) {
+		endDrain()
+		return time.Minute, true
+	}
+	resp, _, err := f.do(t, "/unsafe/x", "Parts", "named")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.True(resp.Header.Get("Retry-After") != "")
+	is.Equal(b.runs.Load(), int32(1))
+}
+
 func TestHandlerRefusesRequestThatCrashesServers(t *testing.T) {
 	is := is.New(t)
 	b := startBackend(t, resetConn)
