ingress: end a response that the caller does not read at its deadline

What callers could see: nothing at first. A stream, or a large response, whose caller stayed connected without reading it was held beyond its deadline without limit, with its connection slot of the server, and counted as in flight while the daemon drained. Enough of them, from one server that sends without end, use up what the process has for other requests.

Cause: the end of the request's context closes the server's connection, but the handler was waiting for a write to the caller, which had no deadline.

Evidence: TestHandlerEndsUnreadResponseAtDeadline against the code before, /once/x and /unsafe/x: "the request is still held" after 10 s, with a deadline of 200 ms.

Change: once the header of such a response is sent, writes to the caller fail at the deadline, and the response is aborted with reason "deadline". net/http clears the deadline when the response ends (TestHandlerReusesCallerConnectionAfterDeadline). Responses that are forwarded when they are complete are unchanged: they are delivered, also late.

--- a/gateway/ingress/response.go
+++ b/gateway/ingress/response.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -107,7 +108,7 @@
 	_, err := io.Copy(out, io.MultiReader(bytes.NewReader(start), resp.Body))
 	if out.failed {
 		resp.Abort()
-		q.abortCallerLeft()
+		q.abortUnwritable(err)
 	}
 	if err != nil {
 		resp.Abort()
@@ -162,7 +163,7 @@
 			tooLarge := events.Write(buf[:n])
 			if err := q.forwardEvents(w, s, resp, &events); err != nil {
 				resp.Abort()
-				q.abortCallerLeft()
+				q.abortUnwritable(err)
 			}
 			if tooLarge != nil {
 				resp.Abort()
@@ -229,9 +230,12 @@
 }
 
 // writeHeader forwards the status and headers of a response whose body follows as
-// it arrives.
+// it arrives. From then on, writes to the caller fail at the deadline.
 func (q *request) writeHeader(w http.ResponseWriter, resp *upstream.Response) {
 	q.headerWritten = true
+	// If w has no deadlines, a caller that does not read ends the request when it
+	// closes the connection.
+	_ = http.NewResponseController(w).SetWriteDeadline(q.rec.Start.Add(q.deadline))
 	q.h.Dialect.StripInternal(resp.Header)
 	copyHeader(w.Header(), resp.Header)
 	w.WriteHeader(resp.Status)
@@ -239,8 +243,12 @@
 	q.rec.FirstByte = time.Since(q.rec.Start)
 }
 
-// abortCallerLeft ends a request whose caller has disconnected.
-func (q *request) abortCallerLeft() {
+// abortUnwritable ends a request after err of a write to the caller, which has
+// disconnected or did not read the response until the deadline.
+func (q *request) abortUnwritable(err error) {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		q.abortResponse(ReasonDeadline)
+	}
 	q.rec.Outcome, q.rec.Reason = OutcomeCallerLeft, ReasonCallerLeft
 	panic(http.ErrAbortHandler)
 }
