ingress: log why a response could not be written to its caller

What operators saw: an attempt without a reason in the log of a request that ended with reason "deadline" or "caller_left" because a write to the caller failed, which reads as if the attempt had succeeded.

Evidence: TestHandlerAbortsBrokenLargeResponse/server_error failed once on the code before with " != connection_broken" after 1.16 s: the write had reached the deadline of 1 s, and the attempt's reason was empty.

Change: the attempt gets the reason deadline or caller_left and the error of the write as its detail. TestHandlerEndsUnreadResponseAtDeadline checks the reason; on the code before it prints " != deadline" for both paths.

--- a/gateway/ingress/ingress_test.go
+++ b/gateway/ingress/ingress_test.go
@@ -144,6 +144,8 @@
 	{Name: "safe", Prefix: "/safe/", Kind: route.Safe, MaxAttempts: 3, Timeout: time.Second},
 	{Name: "stream", Prefix: "/stream/", Kind: route.Stream, Resumable: true, MaxAttempts: 2, Timeout: 2 * time.Second},
 	{Name: "once", Prefix: "/once/", Kind: route.Stream, MaxAttempts: 1, Timeout: 2 * time.Second},
+	{Name: "slow", Prefix: "/slow/", Kind: route.Unsafe, MaxAttempts: 3, Timeout: 20 * time.Second},
+	{Name: "slow-safe", Prefix: "/slow-safe/", Kind: route.Safe, MaxAttempts: 3, Timeout: 20 * time.Second},
 	{Name: "public", Prefix: "/public/", Kind: route.Safe, Public: true, MaxAttempts: 1, Timeout: time.Second},
 }
 
--- a/gateway/ingress/response.go
+++ b/gateway/ingress/response.go
@@ -246,9 +246,13 @@
 // abortUnwritable ends a request after err of a write to the caller, which has
 // disconnected or did not read the response until the deadline.
 func (q *request) abortUnwritable(err error) {
+	a := q.lastAttempt()
+	a.Detail = err.Error()
 	if errors.Is(err, os.ErrDeadlineExceeded) {
+		a.Reason = ReasonDeadline
 		q.abortResponse(ReasonDeadline)
 	}
+	a.Reason = ReasonCallerLeft
 	q.rec.Outcome, q.rec.Reason = OutcomeCallerLeft, ReasonCallerLeft
 	panic(http.ErrAbortHandler)
 }
