--- a/gateway/ingress/response.go
+++ b/gateway/ingress/response.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -107,7 +108,7 @@
 	_, err := io.Copy(out, io.MultiReader(bytes.NewReader(start), resp.Body))
 	if out.failed {
 		resp.Abort()
-		q.abortCallerLeft()
+		q.abortUnwritable(err)
 	}
 	if err != nil {
 		resp.Abort()
@@ -162,7 +163,7 @@
 			tooLarge := events.Write(buf[:n])
 			if err := q.forwardEvents(w, s, resp, &events); err != nil {
 				resp.Abort()
-				q.abortCallerLeft()
+				q.abortUnwritable(err)
 			}
 			if tooLarge != nil {
 				resp.Abort()
@@ -239,8 +240,16 @@
 	q.rec.FirstByte = time.Since(q.rec.Start)
 }
 
-// abortCallerLeft ends a request whose caller has disconnected.
-func (q *request) abortCallerLeft() {
+// abortUnwritable ends a request after err of a write to the caller, which has
+// disconnected or did not read the response until the deadline.
+func (q *request) abortUnwritable(err error) {
+	a := q.lastAttempt()
+	a.Detail = err.Error()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		a.Reason = ReasonDeadline
+		q.abortResponse(ReasonDeadline)
+	}
+	a.Reason = ReasonCallerLeft
 	q.rec.Outcome, q.rec.Reason = OutcomeCallerLeft, ReasonCallerLeft
 	panic(http.ErrAbortHandler)
 }
