ingress: one file for each job

handler.go had admission, the reading of bodies, the limit of writes and the gateway's own responses; response.go had both ways to forward a response. Now handler.go has the Handler and the state of a request, admit.go admission, body.go bodies, writelimit.go the limit of writes, rejection.go the gateway's own responses, plain.go and stream.go the two ways to forward, response.go what both use.

Declarations are moved and not edited: the lines of the package without its imports, sorted, are the same before and after, except that two constants left a group (maxBufferedBytes is now in plain.go, streamBufferBytes in stream.go).

--- a/gateway/ingress/handler.go
+++ b/gateway/ingress/handler.go
@@ -15,11 +15,7 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
-	"os"
-	"strconv"
 	"time"
 
 	"cassialatch.dev/gateway/cacheindex"
@@ -77,36 +73,6 @@
 	bodies bodyBudget
 }
 
-// keyLeaseMargin is subtracted from the key lease. It covers the time from the
-// last check of the lease until the request has reached the server.
-const keyLeaseMargin = 400 * time.Millisecond
-
-// writeGrace is how long after the deadline of a request the rest of its response
-// may be written to a caller that reads slowly.
-const writeGrace = time.Second
-
-// limitWrites limits the time of writes to the caller from when the context ends.
-// The limit is not set before, since after a suspend of the VM the response still
-// has to be written. The returned function ends the watch of the context; net/http
-// then removes the limit when the response has been sent.
-func limitWrites(ctx context.Context, w http.ResponseWriter) (stop func()) {
-	limited := make(chan struct{})
-	stopWatch := context.AfterFunc(ctx, func() {
-		defer close(limited)
-		// An error means that the connection has no deadlines, so that a caller
-		// that does not read is waited for.
-		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeGrace))
-	})
-	return func() {
-		if !stopWatch() {
-			<-limited // otherwise the limit may apply to the next response on the connection
-		}
-	}
-}
-
-// defaultDeadline applies if neither the caller nor the route sets a timeout.
-const defaultDeadline = 60 * time.Second
-
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	rec := &Record{Start: time.Now(), Host: r.Host, Path: r.URL.Path}
@@ -172,148 +138,6 @@
 	loadEntry      *load.Entry       // of the current attempt
 }
 
-// admit validates a request before any server is chosen. It returns either the
-// request's state or a rejection.
-func (h *Handler) admit(w http.ResponseWriter, r *http.Request, rec *Record) (*request, *rejection) {
-	view := h.Catalog.View()
-	age, confirmed := h.Catalog.Age()
-	rec.StoreRevision, rec.ConfirmedAge = view.Revision, age
-	if view.Table == nil || !confirmed {
-		return nil, notRun(ReasonNoConfig, noConfigRetryAfter)
-	}
-	rec.ConfigVersion = view.Table.Version()
-	parsed, err := h.Dialect.ParseRequest(r.Header)
-	rec.ID = parsed.ID
-	if err != nil {
-		return nil, refuse(http.StatusBadRequest, ReasonBadHeader)
-	}
-	rt := view.Table.Match(r.Host, r.URL.Path)
-	if rt == nil {
-		return nil, refuse(http.StatusNotFound, ReasonNoRoute)
-	}
-	rec.Route = rt.Name
-	q := &request{
-		h: h, rec: rec, call: parsed, route: rt,
-		method: r.Method, target: r.RequestURI, host: r.Host, header: r.Header,
-		tried: make(map[string]bool),
-	}
-	if view.Table.NeedsKeys() && !rt.Public {
-		if !h.keyLeaseValid() {
-			return nil, notRun(ReasonKeyLeaseExpired, leaseRetryAfter)
-		}
-		q.ws = view.Table.Workspace(parsed.Key)
-		if q.ws == nil {
-			return nil, refuse(http.StatusUnauthorized, ReasonUnknownKey)
-		}
-		rec.Workspace = q.ws.Name
-	}
-	q.service = view.Table.Service(rt.Service(parsed.ID))
-	if q.service == nil {
-		return nil, notRun(ReasonNoServer, noServerRetryAfter)
-	}
-	rec.Service = q.service.Name
-	if shared := q.call.SharedParts(); len(shared) > 0 {
-		rec.PromptKey = cacheindex.KeyOf(shared[len(shared)-1])
-	}
-	q.deadline = effectiveDeadline(parsed.Deadline, rt.Timeout)
-	if reject := q.readBody(w, r, view.Table.Limits().BodyBytes); reject != nil {
-		return nil, reject
-	}
-	q.fingerprint = quarantine.Fingerprint(r.Host, r.URL.Path, parsed.Key, q.body)
-	if h.Quarantine.ShouldRefuse(q.fingerprint) {
-		return nil, notRun(ReasonCrashesServers, 0)
-	}
-	// Only the deadline bounds how long a request takes: a server may compute a
-	// stream slowly, or queue or preempt it.
-	if left, draining := h.Draining(); draining && q.remaining() > left {
-		return nil, notRun(ReasonDraining, drainRetryAfter)
-	}
-	h.Budget.RecordRequest(q.service.Name)
-	return q, nil
-}
-
-// effectiveDeadline returns the shorter of the caller's deadline and the route's
-// timeout, of those that are set.
-func effectiveDeadline(caller, timeout time.Duration) time.Duration {
-	d := caller
-	if d <= 0 || timeout > 0 && timeout < d {
-		d = timeout
-	}
-	if d <= 0 {
-		d = defaultDeadline
-	}
-	return d
-}
-
-// readBody reads the request body, so that it can be sent more than once. A limit
-// of 0 means that the size is not limited.
-func (q *request) readBody(w http.ResponseWriter, r *http.Request, limit int64) *rejection {
-	if r.ContentLength == 0 {
-		return nil
-	}
-	conn := http.NewResponseController(w)
-	// An error means that the connection has no deadlines; the request is then
-	// not limited in time before its body was read.
-	_ = conn.SetReadDeadline(q.rec.Start.Add(q.deadline))
-	src := io.Reader(r.Body)
-	if limit > 0 {
-		src = http.MaxBytesReader(w, r.Body, limit)
-	}
-	var err error
-	if r.ContentLength > 0 && (limit <= 0 || r.ContentLength <= limit) {
-		q.body, err = readKnownLength(src, r.ContentLength, &q.rec.body)
-	} else {
-		q.body, err = io.ReadAll(&countingReader{src: src, memory: &q.rec.body})
-	}
-	if err != nil {
-		return rejectBody(w, err)
-	}
-	_ = conn.SetReadDeadline(time.Time{})
-	return nil
-}
-
-// rejectBody returns the rejection of a request whose body could not be read. The
-// rest of the body is not waited for, so the connection can't be reused.
-func rejectBody(w http.ResponseWriter, err error) *rejection {
-	w.Header().Set("Connection", "close")
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return refuse(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge)
-	case errors.Is(err, errBodyMemory):
-		return notRun(ReasonBodyMemory, overloadRetryAfter)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return refuse(http.StatusRequestTimeout, ReasonBodyTimeout)
-	}
-	return refuse(http.StatusBadRequest, ReasonBodyUnreadable)
-}
-
-// keyLeaseValid reports whether the configuration was confirmed recently enough
-// for its API keys to be accepted.
-func (h *Handler) keyLeaseValid() bool {
-	if h.Settings.KeyLease <= 0 {
-		return true
-	}
-	age, ok := h.Catalog.Age()
-	return ok && age < h.Settings.KeyLease-keyLeaseMargin
-}
-
-// reauthorize checks, just before a request is sent, that the key lease is valid
-// and that the configuration in force still maps the key to the same workspace.
-func (q *request) reauthorize() *rejection {
-	if q.ws == nil {
-		return nil
-	}
-	if !q.h.keyLeaseValid() {
-		return notRun(ReasonKeyLeaseExpired, leaseRetryAfter)
-	}
-	ws := q.h.Catalog.View().Table.Workspace(q.call.Key)
-	if ws == nil || ws.Name != q.ws.Name {
-		return refuse(http.StatusUnauthorized, ReasonUnknownKey)
-	}
-	return nil
-}
-
 // remaining returns the time until the deadline.
 func (q *request) remaining() time.Duration {
 	return q.deadline - time.Since(q.rec.Start)
@@ -327,44 +151,3 @@
 	}
 	return q.route.Priority
 }
-
-// rejection is a final response generated by the gateway itself.
-type rejection struct {
-	status     int
-	reason     Reason
-	retryAfter time.Duration // 0: no Retry-After header
-}
-
-// Values of the Retry-After header.
-const (
-	noConfigRetryAfter = 300 * time.Millisecond
-	leaseRetryAfter    = 500 * time.Millisecond
-	noServerRetryAfter = 200 * time.Millisecond
-	overloadRetryAfter = 100 * time.Millisecond
-	drainRetryAfter    = 20 * time.Millisecond // other daemons accept requests immediately
-)
-
-// refuse returns a rejection of a request that is invalid or not permitted.
-func refuse(status int, reason Reason) *rejection {
-	return &rejection{status: status, reason: reason}
-}
-
-// notRun returns a rejection that guarantees that the request has not run and
-// will not run.
-func notRun(reason Reason, retryAfter time.Duration) *rejection {
-	return &rejection{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter}
-}
-
-// write sends the rejection and sets the status, reason and outcome of the record.
-func (j *rejection) write(w http.ResponseWriter, rec *Record) {
-	rec.Status, rec.Reason = j.status, j.reason
-	switch j.status {
-	case http.StatusServiceUnavailable, http.StatusRequestTimeout:
-		rec.Outcome = OutcomeNotRun
-	}
-	if j.retryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.FormatFloat(j.retryAfter.Seconds(), 'f', 3, 64))
-	}
-	w.Header().Set("Content-Length", "0")
-	w.WriteHeader(j.status)
-}
--- /dev/null
+++ b/gateway/ingress/plain.go
@@ -0,0 +1,119 @@
+package ingress
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cassialatch.dev/gateway/catalog"
+	"cassialatch.dev/gateway/upstream"
+)
+
+// maxBufferedBytes is the maximum size of a response that is buffered before
+// it is forwarded. While it is buffered, another server can still be tried.
+// Every request in flight may hold that much.
+const maxBufferedBytes = 256 << 10
+
+// bufferedResponse is a complete response of a server.
+type bufferedResponse struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// write forwards the response and sets the status and outcome of the record.
+func (b *bufferedResponse) write(w http.ResponseWriter, rec *Record) {
+	rec.Status, rec.Outcome = b.status, OutcomeAnswered
+	copyHeader(w.Header(), b.header)
+	w.Header().Set("Content-Length", strconv.Itoa(len(b.body)))
+	w.WriteHeader(b.status)
+	rec.FirstByte = time.Since(rec.Start)
+	// A write error means that the caller has disconnected, so it can't be
+	// reported to the caller.
+	_, _ = w.Write(b.body)
+}
+
+// forwardPlain reads a response that is not a stream to its end and then forwards
+// it, unless it is too large to be buffered. It returns whether another server may
+// be tried.
+func (q *request) forwardPlain(ctx context.Context, w http.ResponseWriter, s *catalog.Server, a *Attempt, resp *upstream.Response) bool {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
+	if err != nil {
+		resp.Abort()
+		return q.handleBrokenBody(ctx, s, a, err)
+	}
+	if len(body) > maxBufferedBytes {
+		return q.forwardLarge(ctx, w, s, a, resp, body)
+	}
+	resp.Release()
+	q.h.Dialect.StripInternal(resp.Header)
+	buffered := &bufferedResponse{status: resp.Status, header: resp.Header, body: body}
+	if resp.Status >= http.StatusInternalServerError {
+		q.failedResponse = buffered
+		return q.handleFailure(s, a, ReasonServerError, "")
+	}
+	q.recordAnswered(s)
+	if q.headerWritten {
+		// The response to a request that resumes a stream is not a stream, so
+		// it can't continue what the caller has received.
+		q.abortResponse(ReasonServerError)
+	}
+	buffered.write(w, q.rec)
+	return false
+}
+
+// forwardLarge forwards a response that is too large to be buffered, as it
+// arrives; start is what was read of its body. A server error is not forwarded
+// where another server may be tried. It returns whether one may be.
+func (q *request) forwardLarge(ctx context.Context, w http.ResponseWriter, s *catalog.Server, a *Attempt, resp *upstream.Response, start []byte) bool {
+	q.mayHaveRun = true
+	failed := resp.Status >= http.StatusInternalServerError
+	if failed && q.route.Repeatable() {
+		resp.Abort()
+		return q.handleFailure(s, a, ReasonServerError, "response too large to be buffered")
+	}
+	if q.headerWritten {
+		resp.Abort()
+		q.abortResponse(ReasonServerError) // as in forwardPlain
+	}
+	q.writeHeader(w, resp)
+	out := &callerWriter{w: w}
+	_, err := io.Copy(out, io.MultiReader(bytes.NewReader(start), resp.Body))
+	if out.failed {
+		resp.Abort()
+		q.abortCallerLeft()
+	}
+	if err != nil {
+		resp.Abort()
+		q.handleBrokenBody(ctx, s, a, err)
+		return false // the header was sent, so run aborts the response
+	}
+	resp.Release()
+	q.rec.Outcome = OutcomeAnswered
+	if failed {
+		q.handleFailure(s, a, ReasonServerError, "")
+		q.finished = true
+		return false
+	}
+	q.recordAnswered(s)
+	return false
+}
+
+// callerWriter writes to the caller and records whether a write has failed, to
+// distinguish the caller's end of a copy from the server's.
+type callerWriter struct {
+	w      io.Writer
+	failed bool
+}
+
+// Write implements io.Writer.
+func (c *callerWriter) Write(b []byte) (int, error) {
+	n, err := c.w.Write(b)
+	if err != nil {
+		c.failed = true
+	}
+	return n, err
+}
--- /dev/null
+++ b/gateway/ingress/stream.go
@@ -0,0 +1,94 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"cassialatch.dev/gateway/cacheindex"
+	"cassialatch.dev/gateway/catalog"
+	"cassialatch.dev/gateway/sse"
+	"cassialatch.dev/gateway/upstream"
+)
+
+// streamBufferBytes is the size of the buffer for reading a stream.
+const streamBufferBytes = 4 << 10
+
+// forwardStream forwards complete events as they arrive. It returns whether
+// another server may be tried.
+func (q *request) forwardStream(ctx context.Context, w http.ResponseWriter, s *catalog.Server, a *Attempt, resp *upstream.Response) bool {
+	q.mayHaveRun = true
+	var events sse.Splitter
+	buf := make([]byte, streamBufferBytes)
+	for {
+		n, err := resp.Body.Read(buf)
+		if n > 0 {
+			tooLarge := events.Write(buf[:n])
+			if err := q.forwardEvents(w, s, resp, &events); err != nil {
+				resp.Abort()
+				q.abortCallerLeft()
+			}
+			if tooLarge != nil {
+				resp.Abort()
+				return q.handleFailure(s, a, ReasonConnectionBroken, tooLarge.Error())
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return q.finishStream(w, s, a, resp, &events)
+		}
+		if err != nil {
+			resp.Abort()
+			if ctx.Err() == nil && resp.Lost() {
+				q.h.Quarantine.RecordCrash(q.fingerprint)
+			}
+			return q.handleBrokenBody(ctx, s, a, err)
+		}
+	}
+}
+
+// finishStream handles the regular end of a server's stream, which may still lie
+// within an event. It returns whether another server may be tried.
+func (q *request) finishStream(w http.ResponseWriter, s *catalog.Server, a *Attempt, resp *upstream.Response, events *sse.Splitter) bool {
+	if len(events.Incomplete()) > 0 {
+		resp.Abort()
+		return q.handleFailure(s, a, ReasonConnectionBroken, "stream ended within an event")
+	}
+	resp.Release()
+	q.recordAnswered(s)
+	if !q.headerWritten {
+		q.writeStreamHeader(w, resp)
+	}
+	q.rec.Outcome = OutcomeAnswered
+	return false
+}
+
+// forwardEvents writes the complete events received so far to the caller.
+func (q *request) forwardEvents(w http.ResponseWriter, s *catalog.Server, resp *upstream.Response, events *sse.Splitter) error {
+	complete, lastID := events.Complete()
+	if len(complete) == 0 {
+		return nil
+	}
+	if q.loadEntry.Computed() {
+		q.h.CacheIndex.MarkComputed(q.call.SharedParts(), cacheindex.Holder(s.Tag()))
+	}
+	if !q.headerWritten {
+		q.writeStreamHeader(w, resp)
+	}
+	if _, err := w.Write(complete); err != nil {
+		return err
+	}
+	events.Discard()
+	if lastID != "" {
+		q.lastID = lastID
+	}
+	q.rec.Writes++
+	return http.NewResponseController(w).Flush()
+}
+
+// writeStreamHeader forwards the status and headers of the first server that
+// sends events. Later servers that resume the stream only add events.
+func (q *request) writeStreamHeader(w http.ResponseWriter, resp *upstream.Response) {
+	resp.Header.Del("Content-Length")
+	q.writeHeader(w, resp)
+}
