--- a/gateway/ingress/endless_test.go
+++ b/gateway/ingress/endless_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"runtime"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,19 +16,6 @@
 	"github.com/matryer/is"
 )
 
-// wait waits until n records are there and returns them.
-func (r *records) wait(n int) []Record {
-	for {
-		r.mu.Lock()
-		all := slices.Clone(r.all)
-		r.mu.Unlock()
-		if len(all) >= n {
-			return all
-		}
-		time.Sleep(time.Millisecond)
-	}
-}
-
 // stall starts a signed stream, sends one event and then nothing until the
 // gateway closes the connection.
 func stall(_ *backend, req *http.Request, c net.Conn) {
--- a/gateway/ingress/ingress_test.go
+++ b/gateway/ingress/ingress_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -133,14 +134,17 @@
 	r.all = append(r.all, *rec)
 }
 
-// first returns the first record; nil if no request has ended.
-func (r *records) first() *Record {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if len(r.all) == 0 {
-		return nil
+// wait waits until n records are there and returns them.
+func (r *records) wait(n int) []Record {
+	for {
+		r.mu.Lock()
+		all := slices.Clone(r.all)
+		r.mu.Unlock()
+		if len(all) >= n {
+			return all
+		}
+		time.Sleep(time.Millisecond)
 	}
-	return &r.all[0]
 }
 
 type fixture struct {
--- a/gateway/ingress/unread_test.go
+++ b/gateway/ingress/unread_test.go
@@ -30,15 +30,7 @@
 	is.NoErr(c.conn.(*net.TCPConn).SetReadBuffer(4 << 10))
 	c.sendTo("/once/x", "Content-Length: 0", "")
 	ended := make(chan Outcome, 1)
-	go func() {
-		for {
-			if r := f.records.first(); r != nil {
-				ended <- r.Outcome
-				return
-			}
-			time.Sleep(10 * time.Millisecond)
-		}
-	}()
+	go func() { ended <- f.records.wait(1)[0].Outcome }()
 	select {
 	case outcome := <-ended:
 		is.Equal(outcome, OutcomeCallerLeft)
