tests/soak: idle connections around a changing idle timeout

Callers could see: a request on a kept connection was run by a server, and the connection ended without a response. The soak could not find it. Its callers paused for 8 ms at most and the idle timeout was always 15 s, longer than a run, so that no connection was ever closed for idleness, and a connection that ended without a response was an error only in the seeds with planned work.

Now the idle timeout is lowered and raised during each run, and 160 further callers keep a connection to one daemon each, pause for 0.2 to 1.2 times the timeout, and send at once when the daemon closes an idle connection of another. The schedule of the other faults of a seed is unchanged: the new changes have their own random numbers.

A lost request is an error in all seeds. Faults are recorded for each daemon and server, and excuse a request only if its own daemon was killed or paused, or, for a stream, if a server that ran it was disturbed. A fault of the store excuses nothing.

Two cases are now told apart that traces show to be allowed. (1) A daemon closes a connection with the request unread. Nothing of it is in the daemon's log, and the kernel resets the connection: "connection reset by peer" up to 0.8 s after the request was written, on a busy machine. Such a request did not reach the process. A connection that ends with FIN after the daemon has read the request stays an error after 200 ms, now counted from the end of the write instead of from before the dial. (2) A stream that ends at the deadline it was sent with (log: "unknown", "deadline", took_ms 1500).

--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"hash/fnv"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,31 +20,33 @@
 	maxEvents = 40
 )
 
-// Ledger counts the runs of each request on all runners that share it. It is safe
+// Ledger records the runs of each request on all runners that share it. It is safe
 // for concurrent use.
 type Ledger struct {
 	mu   sync.Mutex
-	runs map[string]int
-	last map[string]time.Time
+	runs map[string][]Run
 }
 
-// NewLedger returns an empty ledger.
-func NewLedger() *Ledger {
-	return &Ledger{runs: make(map[string]int), last: make(map[string]time.Time)}
+// Run is the start of one run of a request.
+type Run struct {
+	Runner string // ID of the runner
+	Start  time.Time
 }
 
-func (l *Ledger) recordRun(id string) {
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger { return &Ledger{runs: make(map[string][]Run)} }
+
+func (l *Ledger) recordRun(id, runner string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.runs[id]++
-	l.last[id] = time.Now()
+	l.runs[id] = append(l.runs[id], Run{Runner: runner, Start: time.Now()})
 }
 
-// Runs returns the number of runs of a request and the start of the last one.
-func (l *Ledger) Runs(id string) (int, time.Time) {
+// Runs returns the runs of a request, oldest first.
+func (l *Ledger) Runs(id string) []Run {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.runs[id], l.last[id]
+	return slices.Clone(l.runs[id])
 }
 
 // Runner is one incarnation of a backend server. It implements http.Handler.
@@ -84,7 +87,7 @@
 		fmt.Fprint(w, `{"held":[]}`)
 		return
 	}
-	r.Ledger.recordRun(id)
+	r.Ledger.recordRun(id, r.ID)
 	h.Set("Cassialatch-Response-Signature", r.ID+"."+id)
 	if strings.HasPrefix(req.URL.Path, "/stream/") {
 		r.stream(w, req, id)
--- a/tests/soak/caller_test.go
+++ b/tests/soak/caller_test.go
@@ -8,8 +8,10 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -24,11 +26,14 @@
 	id     string
 	kind   string
 	key    string
+	daemon string    // IP address of the daemon; empty if none was chosen
 	sent   time.Time // when the caller began to choose an address
-	posted time.Time // when it passed the request to the HTTP client
+	posted time.Time // when the request had been written; until then, when it was passed to the HTTP client
 	ended  time.Time
-	status int // HTTP status, or one of the values below
-	detail string
+	status int   // HTTP status, or one of the values below
+	err    error // why there is no valid response; nil if there is one
+
+	deadline time.Duration // as sent to the daemon
 }
 
 // Status values of requests without a valid response.
@@ -38,24 +43,44 @@
 	connRefused = -2 // no address known, or connection refused
 )
 
-// caller sends requests one after the other over keep-alive connections. The mutex
-// guards the results, which all callers share.
-type caller struct {
-	f      *fleet
-	name   string
-	rng    *rand.Rand
-	client *http.Client
+// resultList collects the results of all callers. It is safe for concurrent use.
+type resultList struct {
+	mu  sync.Mutex
+	all []result
+}
+
+func (l *resultList) add(r result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all = append(l.all, r)
+}
 
+// caller sends requests one after the other over keep-alive connections.
+type caller struct {
+	f        *fleet
+	name     string
+	rng      *rand.Rand
+	results  *resultList
+	deadline time.Duration // the deadline that it sends with each request
+	// choose returns the address to send the next request to, or "" if there is none.
+	choose func(ctx context.Context) string
+	// do sends a request and returns the response, as http.Client.Do does.
+	do func(*http.Request) (*http.Response, error)
+
+	client          *http.Client
 	addresses       []string
 	addressesExpire time.Time
-
-	mu      *sync.Mutex
-	results *[]result
 }
 
-func newCaller(f *fleet, name string, rng *rand.Rand, mu *sync.Mutex, results *[]result) *caller {
-	return &caller{f: f, name: name, rng: rng, mu: mu, results: results,
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}}}
+// requestTimeout is the time after which a caller gives up.
+const requestTimeout = 4 * time.Second
+
+// newCaller returns a caller that connects to the addresses of the directory.
+func newCaller(f *fleet, name string, rng *rand.Rand, results *resultList) *caller {
+	c := &caller{f: f, name: name, rng: rng, results: results, deadline: requestTimeout,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true, DialContext: dialCaller}}}
+	c.choose, c.do = c.chooseAddress, c.client.Do
+	return c
 }
 
 // run sends requests until the context is canceled.
@@ -73,56 +98,59 @@
 
 // sendOnce sends one request and records its result. Requests that are interrupted
 // by the end of the soak are not recorded.
-func (c *caller) sendOnce(ctx context.Context, id, kind, key string) result {
-	const requestTimeout = 4 * time.Second
-	r := result{id: id, kind: kind, key: key, sent: time.Now()}
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+func (c *caller) sendOnce(soak context.Context, id, kind, key string) result {
+	r := result{id: id, kind: kind, key: key, sent: time.Now(), deadline: c.deadline}
+	ctx, cancel := context.WithTimeout(soak, requestTimeout)
 	defer cancel()
-	r.status, r.detail = c.send(ctx, &r, requestTimeout)
+	r.status, r.err = c.send(ctx, &r)
 	r.ended = time.Now()
-	if ctx.Err() == context.Canceled {
+	if soak.Err() != nil {
 		return r // the soak has ended
 	}
-	c.mu.Lock()
-	*c.results = append(*c.results, r)
-	c.mu.Unlock()
+	c.results.add(r)
 	return r
 }
 
-// send sends the request of a result and returns its status and, for failures, the
-// detail.
-func (c *caller) send(ctx context.Context, r *result, timeout time.Duration) (int, string) {
-	address := c.chooseAddress(ctx)
+// send sends the request of a result and returns its status.
+func (c *caller) send(ctx context.Context, r *result) (int, error) {
+	address := c.choose(ctx)
 	if address == "" {
-		return connRefused, "no address"
+		return connRefused, errors.New("no address")
 	}
+	r.daemon, _, _ = strings.Cut(address, ":")
+	var written atomic.Pointer[time.Time]
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteRequest: func(httptrace.WroteRequestInfo) { now := time.Now(); written.Store(&now) }})
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/"+r.kind+"/x", strings.NewReader("body of "+r.id))
 	if err != nil {
-		return connBroken, err.Error()
+		return connBroken, err
 	}
 	req.Host = "soak.example"
 	req.Header.Set("Cassialatch-Attempt-Id", r.id)
-	req.Header.Set("Cassialatch-Deadline-Ms", fmt.Sprint(timeout.Milliseconds()))
+	req.Header.Set("Cassialatch-Deadline-Ms", fmt.Sprint(c.deadline.Milliseconds()))
 	req.Header.Set("Authorization", "Bearer "+r.key)
 	req.Header.Set("Cassialatch-Tenant", "forged") // only gateways may set this header
 	r.posted = time.Now()
-	resp, err := c.client.Do(req)
+	resp, err := c.do(req)
+	if at := written.Load(); at != nil {
+		r.posted = *at
+	}
 	if err != nil {
 		c.addressesExpire = time.Time{}
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			return connRefused, err.Error()
+			return connRefused, err
 		}
-		return connBroken, err.Error()
+		return connBroken, err
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return connBroken, err.Error()
+		return connBroken, err
 	}
 	if resp.StatusCode == http.StatusOK && string(body) != expectedBody(r) {
-		return wrongBody, fmt.Sprintf("got %q", body)
+		return wrongBody, fmt.Errorf("got %q", body)
 	}
-	return resp.StatusCode, ""
+	return resp.StatusCode, nil
 }
 
 // expectedBody returns the complete body of the response to a request.
--- a/tests/soak/fleet_test.go
+++ b/tests/soak/fleet_test.go
@@ -59,10 +59,13 @@
 	daemons []*daemon
 	servers []*server
 
-	mu        sync.Mutex
-	version   int64
-	keys      []string // valid keys of the published configuration
-	timeoutMS int
+	disturbances disturbances
+
+	mu         sync.Mutex
+	version    int64
+	keys       []string // valid keys of the published configuration
+	timeoutMS  int
+	idleTimeMS int // idle timeout of callers' connections in the published configuration
 }
 
 // server is one backend server. Each restart gives it a new incarnation.
@@ -80,7 +83,7 @@
 // newFleet starts the stand-ins and the daemons of a fleet. The daemons get the
 // addresses of the slot, which no other seed of this test process uses.
 func newFleet(t *testing.T, binary string, slot, daemons int) *fleet {
-	f := &fleet{t: t, store: metastore.New(), ledger: runner.NewLedger(), timeoutMS: 3000,
+	f := &fleet{t: t, store: metastore.New(), ledger: runner.NewLedger(), timeoutMS: 3000, idleTimeMS: 15000,
 		keys: []string{"key-0", "key-1", "key-2", "key-3"}}
 	store := httptest.NewServer(f.store)
 	t.Cleanup(func() {
@@ -206,6 +209,9 @@
 	return cmd, true
 }
 
+// frontend returns the daemon's address for callers.
+func (d *daemon) frontend() string { return net.JoinHostPort(d.ip, fmt.Sprint(frontPort)) }
+
 // signal sends a signal to the process if it is running, and returns its command.
 func (d *daemon) signal(s syscall.Signal) *exec.Cmd {
 	d.mu.Lock()
@@ -252,6 +258,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.http != nil {
+		s.f.disturbances.begin(s.handler.ID) // does not end: the incarnation is gone
 		s.http.CloseClientConnections()
 		s.http.Close()
 		s.http = nil
@@ -280,11 +287,12 @@
 	s.f.store.Put("servers/"+s.handler.ID, []byte(entry))
 }
 
-// currentProxy returns the proxy in front of the server's current incarnation.
-func (s *server) currentProxy() *proxy {
+// current returns the ID of the server's current incarnation and the proxy in front
+// of it.
+func (s *server) current() (string, *proxy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.proxy
+	return s.handler.ID, s.proxy
 }
 
 // publish writes the next version of the configuration.
@@ -302,8 +310,8 @@
 			name, name, kind, f.timeoutMS, service, attempts, kind == "streaming")
 	}
 	doc := fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s],"services":[{"name":"models","maxConns":200},{"name":"plain","maxConns":200}],
-		"limits":{"maxBodyBytes":65536,"idleTimeoutMs":15000},"tenants":[{"name":"w","apiKeys":%s}]}`, f.version,
-		route("safe", "safe", "plain", 2), route("unsafe", "unsafe", "plain", 2), route("stream", "streaming", "models", 3), keys)
+		"limits":{"maxBodyBytes":65536,"idleTimeoutMs":%d},"tenants":[{"name":"w","apiKeys":%s}]}`, f.version,
+		route("safe", "safe", "plain", 2), route("unsafe", "unsafe", "plain", 2), route("stream", "streaming", "models", 3), f.idleTimeMS, keys)
 	f.store.Put("op/config", []byte(doc))
 }
 
@@ -323,6 +331,21 @@
 	return key, time.Now()
 }
 
+// setIdleTimeout publishes a configuration with another idle timeout.
+func (f *fleet) setIdleTimeout(d time.Duration) {
+	f.mu.Lock()
+	f.idleTimeMS = int(d.Milliseconds())
+	f.mu.Unlock()
+	f.publish()
+}
+
+// idleTimeout returns the idle timeout of the published configuration.
+func (f *fleet) idleTimeout() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Duration(f.idleTimeMS) * time.Millisecond
+}
+
 // awaitReady waits until all daemons are ready. It returns false after the timeout.
 func (f *fleet) awaitReady(timeout time.Duration) bool {
 	client := &http.Client{Timeout: time.Second}
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -8,23 +8,27 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"cassialatch.dev/standin/metastore"
+	"cassialatch.dev/standin/runner"
 )
 
 var (
-	seeds         = flag.Int("soak.seeds", 2, "number of seeds")
-	firstSeed     = flag.Uint64("soak.first", 1, "first seed; 0 selects a random one")
-	faultDuration = flag.Duration("soak.length", 6*time.Second, "duration of fault injection for each seed")
-	daemons       = flag.Int("soak.daemons", 4, "number of gateways for each seed")
-	callers       = flag.Int("soak.callers", 8, "number of callers for each seed")
+	seeds             = flag.Int("soak.seeds", 2, "number of seeds")
+	firstSeed         = flag.Uint64("soak.first", 1, "first seed; 0 selects a random one")
+	faultDuration     = flag.Duration("soak.length", 6*time.Second, "duration of fault injection for each seed")
+	daemons           = flag.Int("soak.daemons", 4, "number of gateways for each seed")
+	callers           = flag.Int("soak.callers", 8, "number of callers for each seed")
+	persistentCallers = flag.Int("soak.persistent", 160, "number of callers for each seed that keep a connection with long pauses")
 )
 
 // regressions are seeds that failed in the past, each with the cause. They run in
@@ -37,6 +41,7 @@
 	{140, "all daemons drained at once; callers had their connections refused, which the check counted as broken responses"},
 	{423, "a paused daemon read a request 2.3 s after its caller had started it, when the key was already revoked; the check used the start time"},
 	{428, "connections were closed at the end of a drain milliseconds after requests were sent on them, before a daemon had read these; the check counted them as broken responses"},
+	{17, "connections whose idle timeout had passed were closed after requests on them had been passed on to servers"},
 }
 
 // binary is the path of the gateway under test, built once for all seeds.
@@ -97,21 +102,60 @@
 		t.Fatal("the fleet did not become ready")
 	}
 	plannedOnly := seed%4 == 0 // only operations that are planned in production
-	var mu sync.Mutex
-	var results []result
+	var results resultList
 	ctx, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	for i := range *callers {
-		c := newCaller(f, fmt.Sprint("c", i), rand.New(rand.NewPCG(seed, uint64(i+1))), &mu, &results)
+		c := newCaller(f, fmt.Sprint("c", i), rand.New(rand.NewPCG(seed, uint64(i+1))), &results)
 		wg.Go(func() { c.run(ctx) })
 	}
+	f.startPersistentCallers(ctx, &wg, seed, &results)
+	wg.Go(func() { f.changeIdleTimeout(ctx, rand.New(rand.NewPCG(seed, changesStream))) })
 	revoked := f.injectFaults(rng, plannedOnly)
 	stop()
 	wg.Wait()
-	f.checkResults(results, revoked, plannedOnly)
+	f.checkResults(results.all, revoked)
 	f.checkRecovery(seed)
 }
 
+// Streams of random numbers of a seed. Stream 0 is that of the faults; callers have
+// their number, from 1, or persistentStream and more.
+const (
+	recoveryStream   = 99
+	changesStream    = 1000
+	persistentStream = 2000
+)
+
+// startPersistentCallers starts the persistent callers of all daemons.
+func (f *fleet) startPersistentCallers(ctx context.Context, wg *sync.WaitGroup, seed uint64, results *resultList) {
+	idle := make([]idleConns, len(f.daemons))
+	for i := range idle {
+		idle[i].conns = make(map[net.Conn]struct{})
+	}
+	for i := range *persistentCallers {
+		n := i % len(f.daemons)
+		rng := rand.New(rand.NewPCG(seed, uint64(persistentStream+i)))
+		p := newPersistentCaller(f, fmt.Sprint("p", i), rng, results, f.daemons[n], &idle[n])
+		wg.Go(func() { p.run(ctx) })
+	}
+}
+
+// changeIdleTimeout lowers and raises the configured idle timeout until the context
+// is canceled.
+func (f *fleet) changeIdleTimeout(ctx context.Context, rng *rand.Rand) {
+	timeouts := []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 15 * time.Second}
+	for ctx.Err() == nil {
+		f.setIdleTimeout(timeouts[rng.IntN(len(timeouts))])
+		time.Sleep(time.Duration(300+rng.IntN(1700)) * time.Millisecond)
+	}
+}
+
+// killSettleTime is the time after SIGKILL at which the process has ended for sure.
+const killSettleTime = time.Second
+
+// linkFaults are the faults of a connection to a server or the store.
+var linkFaults = []fault{delay, stall, stallResponses, resetConns}
+
 // injectFaults injects faults, which may overlap, for the duration given by the
 // flag, and returns after the last has ended. It returns the revoked keys with the
 // times of their revocation.
@@ -126,9 +170,10 @@
 			choice = rng.IntN(13)
 		}
 		d, s := f.daemons[rng.IntN(len(f.daemons))], f.servers[rng.IntN(len(f.servers))]
+		serverID, serverProxy := s.current()
 		long := rng.IntN(6) == 0
 		switch choice {
-		case connBroken:
+		case 0:
 			wg.Go(d.stop)
 		case 1:
 			d.signal(syscall.SIGHUP)
@@ -139,21 +184,36 @@
 				revoked[key] = at
 			}
 		case 4:
-			d.signal(syscall.SIGKILL)
+			wg.Go(func() {
+				defer f.disturbances.begin(d.ip)()
+				d.signal(syscall.SIGKILL)
+				time.Sleep(killSettleTime)
+			})
 		case 5:
 			if long {
 				hold += revokeBound
 			}
-			wg.Go(func() { d.signal(syscall.SIGSTOP); time.Sleep(hold); d.signal(syscall.SIGCONT) })
-		case 6, 7:
-			link := d.storeProxy
-			if choice == 7 {
-				link = s.currentProxy()
-			}
-			mode := []fault{delay, stall, stallResponses, resetConns}[rng.IntN(4)]
-			wg.Go(func() { link.set(mode); time.Sleep(hold); link.set(forward) })
+			wg.Go(func() {
+				defer f.disturbances.begin(d.ip)()
+				d.signal(syscall.SIGSTOP)
+				time.Sleep(hold)
+				d.signal(syscall.SIGCONT)
+			})
+		case 6:
+			mode := linkFaults[rng.IntN(len(linkFaults))]
+			wg.Go(func() { d.storeProxy.set(mode); time.Sleep(hold); d.storeProxy.set(forward) })
+		case 7:
+			mode := linkFaults[rng.IntN(len(linkFaults))]
+			wg.Go(func() {
+				defer f.disturbances.begin(serverID)()
+				serverProxy.set(mode)
+				time.Sleep(hold)
+				serverProxy.set(forward)
+			})
 		case 8:
-			s.currentProxy().reset()
+			end := f.disturbances.begin(serverID)
+			serverProxy.reset()
+			end()
 		case 9, 10:
 			mode := []metastore.Mode{metastore.Busy, metastore.Unresponsive, metastore.Reset, metastore.WatchesStalled}[rng.IntN(4)]
 			if long {
@@ -173,24 +233,24 @@
 
 // checkResults compares the results of callers with the runs in the ledger of the
 // backend servers.
-func (f *fleet) checkResults(results []result, revoked map[string]time.Time, plannedOnly bool) {
+func (f *fleet) checkResults(results []result, revoked map[string]time.Time) {
 	if len(results) == 0 {
 		f.t.Fatal("no request ended")
 	}
 	served := 0
 	for _, r := range results {
-		runs, last := f.ledger.Runs(r.id)
-		if r.kind == "unsafe" && runs > 1 {
-			f.t.Errorf("unsafe %s ran %d times", r.id, runs)
+		runs := f.ledger.Runs(r.id)
+		if r.kind == "unsafe" && len(runs) > 1 {
+			f.t.Errorf("unsafe %s ran %d times", r.id, len(runs))
 		}
 		switch r.status {
 		case 200:
 			served++
 		case wrongBody:
-			f.t.Errorf("%s %s got a response with the wrong body: %s", r.kind, r.id, r.detail)
+			f.t.Errorf("%s %s got a response with the wrong body: %s", r.kind, r.id, r.err)
 		case 503, 429, 408, 421:
-			if runs > 0 {
-				f.t.Errorf("%s %s was reported as not run (status %d) but ran at %v", r.kind, r.id, r.status, last)
+			if len(runs) > 0 {
+				f.t.Errorf("%s %s was reported as not run (status %d) but ran at %v", r.kind, r.id, r.status, runs)
 			}
 		case 401:
 			// A paused daemon reads and authenticates the request only when it resumes,
@@ -201,11 +261,12 @@
 		case 404:
 			f.t.Errorf("%s %s: route not found", r.kind, r.id)
 		case connBroken:
-			if plannedOnly && !r.racedClose(runs) {
-				f.t.Errorf("%s %s was broken by a planned operation: %s", r.kind, r.id, r.detail)
+			if f.lost(&r, runs) {
+				f.t.Errorf("%s %s was lost by daemon %s, which was not disturbed: written at %v, ended %v later: %s; runs: %v",
+					r.kind, r.id, r.daemon, r.posted, r.ended.Sub(r.posted), r.err, runs)
 			}
 		}
-		if at, ok := revoked[r.key]; ok && runs > 0 && r.sent.After(at.Add(revokeBound)) {
+		if at, ok := revoked[r.key]; ok && len(runs) > 0 && r.sent.After(at.Add(revokeBound)) {
 			f.t.Errorf("%s %s ran with a key that was revoked %v before", r.kind, r.id, r.sent.Sub(at))
 		}
 	}
@@ -215,15 +276,36 @@
 	}
 }
 
-// closeRaceWindow is the time after which a sent request counts as read by a
-// daemon.
+// closeRaceWindow is the time after which a daemon that has read a request must
+// respond to it, or pass it on, before it closes the connection.
 const closeRaceWindow = 200 * time.Millisecond
 
 // racedClose reports whether the connection was closed while the request was in
-// transit: no backend server received the request, and it failed within
-// closeRaceWindow.
-func (r *result) racedClose(runs int) bool {
-	return runs == 0 && r.ended.Sub(r.posted) < closeRaceWindow
+// transit: no backend server received the request, and the daemon either had not
+// read it or closed the connection within closeRaceWindow.
+func (r *result) racedClose(runs []runner.Run) bool {
+	return len(runs) == 0 && (unread(r.err) || r.ended.Sub(r.posted) < closeRaceWindow)
+}
+
+// deadlinePassed reports whether the response may have been truncated because the
+// request's deadline was reached.
+func (r *result) deadlinePassed() bool {
+	return r.kind == "stream" && r.ended.Sub(r.posted) >= r.deadline
+}
+
+// lost reports whether a request without a complete response should have had one.
+// Excused are a request in transit while its connection was closed, a fault of the
+// daemon itself, and, for a stream, its deadline or a fault of a server that ran it.
+// A fault of the store is no excuse, nor is one of a server for other requests,
+// since the daemon can respond with status 502 or 504.
+func (f *fleet) lost(r *result, runs []runner.Run) bool {
+	if r.racedClose(runs) || r.deadlinePassed() || f.disturbances.overlap(r.daemon, r.sent, r.ended) {
+		return false
+	}
+	serverDisturbed := slices.ContainsFunc(runs, func(run runner.Run) bool {
+		return f.disturbances.overlap(run.Runner, r.sent, r.ended)
+	})
+	return r.kind != "stream" || !serverDisturbed
 }
 
 // checkRecovery checks that all daemons become ready and all requests succeed after
@@ -238,9 +320,7 @@
 		return
 	}
 	time.Sleep(stabilizeTime)
-	var mu sync.Mutex
-	var results []result
-	c := newCaller(f, "after", rand.New(rand.NewPCG(seed, 99)), &mu, &results)
+	c := newCaller(f, "after", rand.New(rand.NewPCG(seed, recoveryStream)), &resultList{})
 	f.mu.Lock()
 	key := f.keys[0]
 	f.mu.Unlock()
@@ -248,7 +328,7 @@
 	for n := range rounds {
 		for _, kind := range kinds {
 			if r := c.sendOnce(context.Background(), fmt.Sprintf("after-%s-%d", kind, n), kind, key); r.status != 200 {
-				f.t.Errorf("after the faults, %s %s got status %d: %s", kind, r.id, r.status, r.detail)
+				f.t.Errorf("after the faults, %s %s got status %d: %s", kind, r.id, r.status, r.err)
 			}
 		}
 	}
