--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -42,6 +42,7 @@
 	{423, "a paused daemon read a request 2.3 s after its caller had started it, when the key was already revoked; the check used the start time"},
 	{428, "connections were closed at the end of a drain milliseconds after requests were sent on them, before a daemon had read these; the check counted them as broken responses"},
 	{17, "connections whose idle timeout had passed were closed after requests on them had been passed on to servers"},
+	{13, "a daemon panicked while it stopped, because a change of state was logged after the log had been closed"},
 }
 
 // binary is the path of the gateway under test, built once for all seeds.
