tests/soak: daemons stopped in turn under long streams

Callers could see a response end early when a daemon is stopped; the soak hardly tried. Its requests stated a deadline of 4 s on routes of 3 s, and daemons had 4 s from SIGTERM to SIGKILL, so that a draining daemon refused nearly all requests at once, and no stream lasted longer than 0.2 s.

Now the grace period is 4 or 8 s, by the seed; in about half of the seeds all daemons are stopped in turn, one or two at a time, while earlier ones still drain and the configuration changes, each just after its idle connections have sent requests; streams last up to 2 s and state how many tokens they need, so that draining daemons admit them. Random numbers of these plans are apart from those of the faults, whose schedule stays as it was for each seed.

--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -1,6 +1,7 @@
 // Package runner simulates a backend server of the users' platform for tests. It
 // implements the platform's published protocol. The path of a request selects the
-// response: /safe/ and /unsafe/ return a short body, /stream/ returns events.
+// response: /safe/ and /unsafe/ return a short body, /stream/ and /slow/ return
+// events.
 package runner
 
 import (
@@ -15,9 +16,10 @@
 )
 
 const (
-	workTime  = 4 * time.Millisecond // duration of a request that is not a stream
-	eventTime = 4 * time.Millisecond // pause after each event
-	maxEvents = 40
+	workTime      = 4 * time.Millisecond  // duration of a request that is not a stream
+	eventTime     = 4 * time.Millisecond  // pause after each event
+	slowEventTime = 50 * time.Millisecond // the same for /slow/
+	maxEvents     = 40
 )
 
 // Ledger records the runs of each request on all runners that share it. It is safe
@@ -89,15 +91,19 @@
 	}
 	r.Ledger.recordRun(id, r.ID)
 	h.Set("Cassialatch-Response-Signature", r.ID+"."+id)
-	if strings.HasPrefix(req.URL.Path, "/stream/") {
-		r.stream(w, req, id)
+	switch {
+	case strings.HasPrefix(req.URL.Path, "/stream/"):
+		r.stream(w, req, id, eventTime)
+		return
+	case strings.HasPrefix(req.URL.Path, "/slow/"):
+		r.stream(w, req, id, slowEventTime)
 		return
 	}
 	time.Sleep(workTime)
 	fmt.Fprint(w, Body(id))
 }
 
-func (r *Runner) stream(w http.ResponseWriter, req *http.Request, id string) {
+func (r *Runner) stream(w http.ResponseWriter, req *http.Request, id string, pause time.Duration) {
 	after := 0
 	if last := req.Header.Get("Last-Event-Id"); last != "" {
 		n, err := strconv.Atoi(last)
@@ -113,6 +119,6 @@
 		if http.NewResponseController(w).Flush() != nil || req.Context().Err() != nil {
 			return // the caller has disconnected
 		}
-		time.Sleep(eventTime)
+		time.Sleep(pause)
 	}
 }
--- a/tests/soak/caller_test.go
+++ b/tests/soak/caller_test.go
@@ -18,9 +18,16 @@
 	"cassialatch.dev/standin/runner"
 )
 
-// kinds are the names of the routes that callers use.
+// kinds are the names of the routes that callers use; persistent callers also use
+// slowStream.
 var kinds = []string{"safe", "unsafe", "stream"}
 
+// slowStream is the route of streams that last for seconds.
+const slowStream = "slow"
+
+// isStream reports whether the responses of a route are streams.
+func isStream(kind string) bool { return kind == "stream" || kind == slowStream }
+
 // result is a caller's record of one request.
 type result struct {
 	id     string
@@ -72,8 +79,19 @@
 	addressesExpire time.Time
 }
 
-// requestTimeout is the time after which a caller gives up.
-const requestTimeout = 4 * time.Second
+// requestTimeout and slowTimeout are the times after which a caller gives up.
+const (
+	requestTimeout = 4 * time.Second
+	slowTimeout    = 8 * time.Second // for slowStream
+)
+
+// slowDeadline and slowTokens are what a request for a slowStream states: its
+// deadline, and the number of output tokens, from which a draining daemon estimates
+// its duration.
+const (
+	slowDeadline = 6 * time.Second
+	slowTokens   = 150
+)
 
 // newCaller returns a caller that connects to the addresses of the directory.
 func newCaller(f *fleet, name string, rng *rand.Rand, results *resultList) *caller {
@@ -100,7 +118,11 @@
 // by the end of the soak are not recorded.
 func (c *caller) sendOnce(soak context.Context, id, kind, key string) result {
 	r := result{id: id, kind: kind, key: key, sent: time.Now(), deadline: c.deadline}
-	ctx, cancel := context.WithTimeout(soak, requestTimeout)
+	timeout := requestTimeout
+	if kind == slowStream {
+		r.deadline, timeout = slowDeadline, slowTimeout
+	}
+	ctx, cancel := context.WithTimeout(soak, timeout)
 	defer cancel()
 	r.status, r.err = c.send(ctx, &r)
 	r.ended = time.Now()
@@ -127,8 +149,11 @@
 	}
 	req.Host = "soak.example"
 	req.Header.Set("Cassialatch-Attempt-Id", r.id)
-	req.Header.Set("Cassialatch-Deadline-Ms", fmt.Sprint(c.deadline.Milliseconds()))
+	req.Header.Set("Cassialatch-Deadline-Ms", fmt.Sprint(r.deadline.Milliseconds()))
 	req.Header.Set("Authorization", "Bearer "+r.key)
+	if r.kind == slowStream {
+		req.Header.Set("Cassialatch-Token-Usage", fmt.Sprint("0,", slowTokens))
+	}
 	req.Header.Set("Cassialatch-Tenant", "forged") // only gateways may set this header
 	r.posted = time.Now()
 	resp, err := c.do(req)
@@ -155,7 +180,7 @@
 
 // expectedBody returns the complete body of the response to a request.
 func expectedBody(r *result) string {
-	if r.kind != "stream" {
+	if !isStream(r.kind) {
 		return runner.Body(r.id)
 	}
 	var b strings.Builder
--- a/tests/soak/fleet_test.go
+++ b/tests/soak/fleet_test.go
@@ -29,13 +29,8 @@
 	exchangePort
 )
 
-const (
-	// revokeBound is the time after which a revoked key must not be accepted.
-	revokeBound = 5 * time.Second
-	// gracePeriod is the time between SIGTERM and SIGKILL. It is also set in the
-	// settings of the daemons.
-	gracePeriod = 4 * time.Second
-)
+// revokeBound is the time after which a revoked key must not be accepted.
+const revokeBound = 5 * time.Second
 
 // daemon is one gateway process, restarted after each exit.
 type daemon struct {
@@ -43,7 +38,9 @@
 	ip         string
 	settings   string
 	log        string
-	storeProxy *proxy // carries its connections to the store
+	storeProxy *proxy        // carries its connections to the store
+	grace      time.Duration // time between SIGTERM and SIGKILL, which the settings also state
+	idle       idleConns
 
 	done   chan struct{} // closed when supervise has returned
 	mu     sync.Mutex
@@ -83,7 +80,7 @@
 
 // newFleet starts the stand-ins and the daemons of a fleet. The daemons get the
 // addresses of the slot, which no other seed of this test process uses.
-func newFleet(t *testing.T, binary string, slot, daemons int) *fleet {
+func newFleet(t *testing.T, binary string, slot, daemons int, grace time.Duration) *fleet {
 	f := &fleet{t: t, store: metastore.New(), ledger: runner.NewLedger(), timeoutMS: 3000, idleTimeMS: 15000,
 		keys: []string{"key-0", "key-1", "key-2", "key-3"}}
 	store := httptest.NewServer(f.store)
@@ -99,7 +96,7 @@
 	dir := logDir(t)
 	for i := range daemons {
 		ip := daemonIP(slot, i)
-		f.daemons = append(f.daemons, newDaemon(t, dir, ip, i, newProxy(t, strings.TrimPrefix(store.URL, "http://")), slot))
+		f.daemons = append(f.daemons, newDaemon(t, dir, ip, i, newProxy(t, strings.TrimPrefix(store.URL, "http://")), slot, grace))
 	}
 	for _, d := range f.daemons {
 		go d.supervise(binary)
@@ -133,7 +130,7 @@
 }
 
 // newDaemon writes the settings of a daemon. The process is started by supervise.
-func newDaemon(t *testing.T, dir, ip string, i int, store *proxy, slot int) *daemon {
+func newDaemon(t *testing.T, dir, ip string, i int, store *proxy, slot int, grace time.Duration) *daemon {
 	at := func(port int) string { return net.JoinHostPort(ip, fmt.Sprint(port)) }
 	seed := fmt.Sprintf("%s:%d", daemonIP(slot, 0), controlPort)
 	raw, err := json.Marshal(map[string]any{
@@ -143,14 +140,14 @@
 		"portRange": []int{exchangePort, exchangePort + 15},
 		"seeds":     []string{seed},
 		"limits":    map[string]any{"cpuShare": 0.4, "cores": 1, "memoryMb": 284},
-		"bounds": map[string]any{"graceS": gracePeriod.Seconds(), "failClosed": true, "revokeMs": revokeBound.Milliseconds(),
+		"bounds": map[string]any{"graceS": grace.Seconds(), "failClosed": true, "revokeMs": revokeBound.Milliseconds(),
 			"retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 58},
 		"platform": map[string]string{"address": store.address()},
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := &daemon{t: t, ip: ip, storeProxy: store, done: make(chan struct{}),
+	d := &daemon{t: t, ip: ip, storeProxy: store, grace: grace, done: make(chan struct{}),
 		settings: filepath.Join(dir, fmt.Sprintf("settings-%d", i)), log: filepath.Join(dir, fmt.Sprintf("log-%d", i))}
 	if err := os.WriteFile(d.settings, raw, 0o600); err != nil {
 		t.Fatal(err)
@@ -227,10 +224,10 @@
 }
 
 // stop stops the process as the platform does: with SIGTERM, and with SIGKILL if it
-// is still running after gracePeriod.
+// is still running after the grace period.
 func (d *daemon) stop() {
 	stopping := d.signal(syscall.SIGTERM)
-	time.Sleep(gracePeriod)
+	time.Sleep(d.grace)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.cmd != nil && d.cmd == stopping {
@@ -308,13 +305,15 @@
 		f.t.Error(err)
 		return
 	}
-	route := func(name, kind, service string, attempts int) string {
+	route := func(name, kind, service string, attempts, timeoutMS int) string {
 		return fmt.Sprintf(`{"name":%q,"host":"soak.example","pathPrefix":"/%s/","type":%q,"timeoutMs":%d,"service":%q,"maxAttempts":%d,"resumable":%t}`,
-			name, name, kind, f.timeoutMS, service, attempts, kind == "streaming")
+			name, name, kind, timeoutMS, service, attempts, kind == "streaming")
 	}
-	doc := fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s],"services":[{"name":"models","maxConns":200},{"name":"plain","maxConns":200}],
+	doc := fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s,%s],"services":[{"name":"models","maxConns":200},{"name":"plain","maxConns":200}],
 		"limits":{"maxBodyBytes":65536,"idleTimeoutMs":%d},"tenants":[{"name":"w","apiKeys":%s}]}`, f.version,
-		route("safe", "safe", "plain", 2), route("unsafe", "unsafe", "plain", 2), route("stream", "streaming", "models", 3), f.idleTimeMS, keys)
+		route("safe", "safe", "plain", 2, f.timeoutMS), route("unsafe", "unsafe", "plain", 2, f.timeoutMS),
+		route("stream", "streaming", "models", 3, f.timeoutMS),
+		route(slowStream, "streaming", "models", 3, int(slowTimeout.Milliseconds())), f.idleTimeMS, keys)
 	f.store.Put("op/config", []byte(doc))
 }
 
--- a/tests/soak/persistent_test.go
+++ b/tests/soak/persistent_test.go
@@ -23,6 +23,9 @@
 func (g *idleConns) add(c net.Conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.conns == nil {
+		g.conns = make(map[net.Conn]struct{})
+	}
 	g.conns[c] = struct{}{}
 }
 
@@ -49,7 +52,6 @@
 type persistentCaller struct {
 	*caller
 	daemon *daemon
-	idle   *idleConns
 
 	conn       net.Conn // nil: not connected
 	reader     *bufio.Reader
@@ -58,8 +60,8 @@
 
 // newPersistentCaller returns a persistent caller of a daemon. Its deadline is
 // short enough for its requests to be admitted while the daemon drains.
-func newPersistentCaller(f *fleet, name string, rng *rand.Rand, results *resultList, d *daemon, idle *idleConns) *persistentCaller {
-	p := &persistentCaller{caller: newCaller(f, name, rng, results), daemon: d, idle: idle}
+func newPersistentCaller(f *fleet, name string, rng *rand.Rand, results *resultList, d *daemon) *persistentCaller {
+	p := &persistentCaller{caller: newCaller(f, name, rng, results), daemon: d}
 	p.deadline = 1500 * time.Millisecond
 	p.choose = func(context.Context) string { return p.daemon.frontend() }
 	p.do = p.exchange
@@ -78,7 +80,7 @@
 			p.disconnect()
 			continue
 		}
-		r := p.sendOnce(ctx, fmt.Sprintf("%s-%d", p.name, n), kinds[p.rng.IntN(len(kinds))], p.f.randomKey(p.rng))
+		r := p.sendOnce(ctx, fmt.Sprintf("%s-%d", p.name, n), p.randomKind(), p.f.randomKey(p.rng))
 		if p.lastOfConn || r.status <= 0 {
 			p.disconnect()
 		}
@@ -86,6 +88,14 @@
 	p.disconnect()
 }
 
+// randomKind returns one of the kinds, in one of six cases slowStream.
+func (p *persistentCaller) randomKind() string {
+	if p.rng.IntN(6) == 0 {
+		return slowStream
+	}
+	return kinds[p.rng.IntN(len(kinds))]
+}
+
 // connect opens a connection if there is none. The connection is closed when the
 // context is canceled.
 func (p *persistentCaller) connect(ctx context.Context) bool {
@@ -117,16 +127,16 @@
 	if err := p.conn.SetReadDeadline(time.Now().Add(pause)); err != nil {
 		return false
 	}
-	p.idle.add(p.conn)
+	p.daemon.idle.add(p.conn)
 	_, err := p.reader.Peek(1)
-	p.idle.remove(p.conn)
+	p.daemon.idle.remove(p.conn)
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return true
 	case err == nil:
 		p.f.t.Errorf("%s received bytes without a request", p.name)
 	}
-	p.idle.wake()
+	p.daemon.idle.wake()
 	return false
 }
 
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -8,7 +8,6 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -97,7 +96,9 @@
 // the fleet's addresses.
 func runSeed(t *testing.T, seed uint64, slot int) {
 	rng := rand.New(rand.NewPCG(seed, 0))
-	f := newFleet(t, binary, slot, *daemons)
+	changes := rand.New(rand.NewPCG(seed, changesStream))
+	grace := []time.Duration{4 * time.Second, 8 * time.Second}[changes.IntN(2)]
+	f := newFleet(t, binary, slot, *daemons, grace)
 	const startTimeout = 20 * time.Second
 	if !f.awaitReady(startTimeout) {
 		t.Fatal("the fleet did not become ready")
@@ -111,8 +112,13 @@
 		wg.Go(func() { c.run(ctx) })
 	}
 	f.startPersistentCallers(ctx, &wg, seed, &results)
-	wg.Go(func() { f.changeIdleTimeout(ctx, rand.New(rand.NewPCG(seed, changesStream))) })
+	wg.Go(func() { f.changeIdleTimeout(ctx, rand.New(rand.NewPCG(seed, idleStream))) })
+	var stops sync.WaitGroup
+	if changes.IntN(2) == 0 {
+		stops.Go(func() { f.stopInTurn(changes) })
+	}
 	revoked := f.injectFaults(rng, plannedOnly)
+	stops.Wait()
 	stop()
 	wg.Wait()
 	f.checkResults(results.all, revoked)
@@ -124,19 +130,15 @@
 const (
 	recoveryStream   = 99
 	changesStream    = 1000
+	idleStream       = 1001
 	persistentStream = 2000
 )
 
 // startPersistentCallers starts the persistent callers of all daemons.
 func (f *fleet) startPersistentCallers(ctx context.Context, wg *sync.WaitGroup, seed uint64, results *resultList) {
-	idle := make([]idleConns, len(f.daemons))
-	for i := range idle {
-		idle[i].conns = make(map[net.Conn]struct{})
-	}
 	for i := range *persistentCallers {
-		n := i % len(f.daemons)
 		rng := rand.New(rand.NewPCG(seed, uint64(persistentStream+i)))
-		p := newPersistentCaller(f, fmt.Sprint("p", i), rng, results, f.daemons[n], &idle[n])
+		p := newPersistentCaller(f, fmt.Sprint("p", i), rng, results, f.daemons[i%len(f.daemons)])
 		wg.Go(func() { p.run(ctx) })
 	}
 }
@@ -151,6 +153,23 @@
 	}
 }
 
+// stopInTurn stops all daemons, one or two at a time, while earlier ones may still
+// drain. Just before, the callers with idle connections to them send requests.
+func (f *fleet) stopInTurn(rng *rand.Rand) {
+	var stops sync.WaitGroup
+	defer stops.Wait()
+	for group := range slices.Chunk(f.daemons, 1+rng.IntN(2)) {
+		time.Sleep(time.Duration(500+rng.IntN(1500)) * time.Millisecond)
+		for _, d := range group {
+			d.idle.wake()
+		}
+		time.Sleep(time.Duration(rng.IntN(50)) * time.Millisecond)
+		for _, d := range group {
+			stops.Go(d.stop)
+		}
+	}
+}
+
 // killSettleTime is the time after SIGKILL at which the process has ended for sure.
 const killSettleTime = time.Second
 
@@ -291,7 +310,7 @@
 // deadlinePassed reports whether the response may have been truncated because the
 // request's deadline was reached.
 func (r *result) deadlinePassed() bool {
-	return r.kind == "stream" && r.ended.Sub(r.posted) >= r.deadline
+	return isStream(r.kind) && r.ended.Sub(r.posted) >= r.deadline
 }
 
 // lost reports whether a request without a complete response should have had one.
@@ -306,7 +325,7 @@
 	serverDisturbed := slices.ContainsFunc(runs, func(run runner.Run) bool {
 		return f.disturbances.overlap(run.Runner, r.sent, r.ended)
 	})
-	return r.kind != "stream" || !serverDisturbed
+	return !isStream(r.kind) || !serverDisturbed
 }
 
 // checkRecovery checks that all daemons become ready and all requests succeed after
