fleet/entry: a call deduplicated by its key is never reported as not run

Callers could see: of several copies of one keyed booking (checks_key), one is told "not-run, home was not reached" while the others are answered. A caller that takes that as "the booking does not exist" and books with a new key books twice.

Cause: Router.Route knows only the copy that it handles, and "not run" is true of that copy. The promise is about the call: "not run" is reported only if no copy runs or will run. For calls with a ticket the entry asks the ticket's executor; for calls with a key it reported the copy's outcome as it was. With a ticket beside the key it even voided the ticket, which such a call does not use.

Considered, without a run: asking other daemons whether a copy ran. A key names no executor that could void it, and a copy may be on the way to a daemon that is partitioned from here.

Change: a refusal of a call whose key its service checks, or may check, has the outcome "unknown"; code, status and Retry-After stay. The caller sends the call again with the same key, which is safe whatever has run. Calls that may be repeated and those without a key are as before.

--- a/fleet/entry/server.go
+++ b/fleet/entry/server.go
@@ -4,7 +4,8 @@
 //
 // Each request ends with a typed outcome: answered, not run or unknown. "Not
 // run" is reported only if no copy of the request runs or will run; a request
-// with a ticket is checked with the daemon that issued the ticket first. A
+// with a ticket is checked with the daemon that issued the ticket first, and a call
+// that its service deduplicates by idempotency key is never reported as "not run". A
 // response is complete only if its trailer carries the outcome "answered"; the
 // connection of an incomplete one is aborted.
 //
@@ -129,18 +130,26 @@
 	}
 }
 
-// confirmNotRun checks an outcome "not run" of a request with a ticket. An
-// earlier copy of the request may have been sent through another daemon, so the
-// outcome is reported only if the ticket's executor confirms that no copy runs.
+// confirmNotRun checks an outcome "not run" of a request of which other copies may
+// have been sent through other daemons. For a request with a ticket, the outcome is
+// reported only if the ticket's executor confirms that no copy runs. A call that is
+// deduplicated by its key has no executor, so its outcome is unknown.
 func (s *Server) confirmNotRun(c *call, err error) error {
-	text := c.r.Header.Get(outcome.HeaderTicket)
-	if err == nil || text == "" || c.submitted {
+	if err == nil || c.submitted {
 		return err
 	}
 	e := outcome.From(err)
 	if e.Outcome != outcome.NotRun {
 		return err
 	}
+	if mayBeDeduplicated(c) {
+		unknown := outcome.NewUnknown(e.Code, e.Message+"; another copy with the key may have run")
+		return unknown.WithRetryAfter(e.RetryAfter).WithCause(e)
+	}
+	text := c.r.Header.Get(outcome.HeaderTicket)
+	if text == "" {
+		return err
+	}
 	return s.opts.Executor.VoidAfterRefusal(c.r.Context(), text, e)
 }
 
--- a/fleet/entry/service.go
+++ b/fleet/entry/service.go
@@ -33,7 +33,7 @@
 	if rule.Idempotent {
 		return s.routeService(c, start, body, c.id)
 	}
-	if s.deduplicates(c, service) {
+	if deduplicates(c, service) {
 		// The daemon does not retry the call. The idempotency key routes a
 		// retry by the caller to the same backend server while that accepts
 		// requests.
@@ -53,10 +53,29 @@
 
 // deduplicates reports whether the service's backend servers refuse to run the
 // call twice, by its idempotency key.
-func (s *Server) deduplicates(c *call, service *dynamic.Service) bool {
+func deduplicates(c *call, service *dynamic.Service) bool {
 	return service.ChecksKey && c.r.Header.Get(outcome.HeaderIdempotencyKey) != ""
 }
 
+// mayBeDeduplicated reports whether the call has a key by which backend servers may
+// deduplicate it. A service that is not in the configuration may check keys. Calls
+// that may be repeated are left out: their outcome is that of one copy.
+func mayBeDeduplicated(c *call) bool {
+	name := c.r.PathValue("service")
+	if name == "" || c.r.Header.Get(outcome.HeaderIdempotencyKey) == "" {
+		return false
+	}
+	if c.config == nil {
+		return true
+	}
+	service, known := c.config.Services[name]
+	if !known {
+		return true
+	}
+	path := "/" + c.r.PathValue("path")
+	return deduplicates(c, service) && !matchRule(service, c.r.Method, path).Idempotent
+}
+
 // routeService routes a call that needs no ticket. Calls with the same key go to
 // the same backend server if possible.
 func (s *Server) routeService(c *call, start *peerpb.ForwardStart, body []byte, key string) error {
--- a/tests/invariant/at_most_once_test.go
+++ b/tests/invariant/at_most_once_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -206,6 +207,27 @@
 	}
 }
 
+// Guards against a keyed booking that ran being reported as not run by a daemon that
+// does not reach the home.
+func TestKeyedBookingThatRanIsNotReportedNotRun(t *testing.T) {
+	t.Parallel()
+	f := harness.Start(t, harness.Options{
+		Daemons: 3, Services: 1, Service: plainservice.Config{CheckKey: true},
+		Base: strings.Replace(harness.BaseDocument, "[services.arkiv-app]", "[services.arkiv-app]\nchecks_key = true", 1),
+	})
+	for i, d := range f.Daemons { // all but the home have to forward the booking
+		others := slices.DeleteFunc(slices.Clone(f.Daemons), func(other *harness.Daemon) bool { return other == d })
+		r := bookingRequest(fmt.Sprintf("p%d", i), "")
+		r.key = r.id
+		first := send(others[0], r)
+		f.Network.Partition([]*harness.Daemon{d}, others)
+		again := send(d, r)
+		f.Network.Heal([]*harness.Daemon{d}, others)
+		f.Eventually("all daemons see each other alive", func() bool { return allAlive(f.Daemons) })
+		checkOutcomes(t, bookingRuns(f, r.id), first, again)
+	}
+}
+
 // lossyPeers connects to one other executor over a link that can lose forwards.
 type lossyPeers struct {
 	other   *executor.Executor
