fleet/router: a home that was not reached is tried once more before a refusal

Callers could see: a call of a service with one backend server is refused with 502 "home was not reached" because one dial failed, while the same home runs other calls at that moment.

Cause: an attempt excludes its backend server, whatever came of it. After a home was not reached no other backend server was left, and the request was refused without another attempt, though no home had decided anything.

Evidence: the new test fails on the code before in four cases ("1 != 2", "2 != 3" attempts).

Not chosen, without a run: a longer limit of the dial, which would delay requests that other backend servers could take; a pause before the attempt, since what can't be served is refused at once.

Change: when no backend server is left, those whose home was not reached become eligible again, once for each request and within maxAttempts. The home is looked up again, so it may be another daemon. A request that may have run, or that a home refused, is not affected.

Passing with the race detector: fleet/router, fleet/entry, fleet/executor, fleet/node, fleet/peer, tests/invariant, tests/callers, tests/hedge, tests/endtoend.

--- a/fleet/router/router.go
+++ b/fleet/router/router.go
@@ -87,7 +87,7 @@
 	var last error
 	for d.attemptsLeft = maxAttempts; d.attemptsLeft > 0; d.attemptsLeft-- {
 		choice, ok := d.plan()
-		if !ok && d.pauseAndReset(ctx) {
+		if !ok && (d.retryUnreached() || d.pauseAndReset(ctx)) {
 			choice, ok = d.plan()
 		}
 		if !ok {
@@ -97,6 +97,9 @@
 		if err == nil {
 			return nil
 		}
+		if isUnreached(err) {
+			d.unreached = append(d.unreached, choice.Backend)
+		}
 		last = d.recordFailure(err)
 		if !d.mayRetry(ctx, err) {
 			return last
@@ -118,6 +121,8 @@
 	sink          *trackingSink
 	budget        *budget
 	excluded      map[string]bool // backend servers already tried
+	unreached     []string        // those of them whose home was not reached
+	retried       bool            // retryUnreached has made them eligible again
 	firstUnknown  error           // first failure after which the request may have run
 	homeLost      bool            // a home was lost while it handled this request
 	backendFailed bool            // a backend server failed while it ran this request
@@ -125,6 +130,20 @@
 	attemptsLeft  int
 }
 
+// retryUnreached makes the backend servers eligible again whose home was not reached,
+// at most once for each request. A home that was not reached has decided nothing, and
+// another daemon may be the home by now.
+func (d *dispatch) retryUnreached() bool {
+	if d.retried || len(d.unreached) == 0 {
+		return false
+	}
+	d.retried = true
+	for _, backend := range d.unreached {
+		delete(d.excluded, backend)
+	}
+	return true
+}
+
 // resetPause is the pause of pauseAndReset.
 const resetPause = 500 * time.Millisecond
 
@@ -147,6 +166,13 @@
 	return true
 }
 
+// isUnreached reports whether err means that the home of a backend server was not
+// reached, so that the request did not run.
+func isUnreached(err error) bool {
+	e := outcome.From(err)
+	return e.Outcome == outcome.NotRun && e.Code == outcome.CodePeerFailed
+}
+
 // recordFailure returns the error of the whole request after a failed attempt. If
 // an earlier attempt may have run, the request may have run too, even if this
 // attempt did not run; the earlier error is returned then.
--- a/fleet/router/router_test.go
+++ b/fleet/router/router_test.go
@@ -68,7 +68,7 @@
 			home := &failingExecutor{err: test.err}
 			config := &dynamic.Config{Models: map[string]*dynamic.Model{"klang-model": {RetryBudget: test.budget}}}
 			r := New(Options{
-				SelfID: "entry", Directory: directory(), Loads: loadtable.New(time.Second, time.Now), Planner: orderedPlanner{},
+				SelfID: "entry", Directory: directory(maxAttempts + 1), Loads: loadtable.New(time.Second, time.Now), Planner: orderedPlanner{},
 				Local: home, Config: func() *dynamic.Config { return config },
 			})
 			start := &peerpb.ForwardStart{Service: "klang-model", Idempotent: test.idempotent}
@@ -79,13 +79,69 @@
 	}
 }
 
-// directory returns a directory with one daemon and maxAttempts+1 backend servers.
-func directory() *member.Directory {
+// scriptedHome is a home that fails the first requests with errs, in this order, and
+// runs the others.
+type scriptedHome struct {
+	errs []error
+	runs int
+}
+
+// Execute implements forward.Executor.
+func (f *scriptedHome) Execute(context.Context, *peerpb.ForwardStart, []byte, forward.Sink) error {
+	f.runs++
+	if f.runs <= len(f.errs) {
+		return f.errs[f.runs-1]
+	}
+	return nil
+}
+
+// Guards against a request that is refused because one dial to the only home failed,
+// although the home runs other requests.
+func TestRouter_TriesUnreachedHomeOnceMore(t *testing.T) {
+	unreached := outcome.NewNotRun(outcome.CodePeerFailed, "home was not reached").WithReplan()
+	refused := outcome.NewNotRun(outcome.CodeLoadLimit, "full").WithReplan()
+	lost := outcome.NewUnknown(outcome.CodePeerFailed, "lost").WithReplan()
+	tests := []struct {
+		name     string
+		backends int
+		errs     []error // of the first attempts
+		runs     int
+		err      error // of the request
+	}{
+		{"reached at the second attempt", 1, []error{unreached}, 2, nil},
+		{"not reached twice", 1, []error{unreached, unreached, unreached}, 2, unreached},
+		{"refused by the home", 1, []error{refused}, 1, refused},
+		{"lost while it ran", 1, []error{lost}, 1, lost},
+		{"lost after it was not reached", 1, []error{unreached, lost}, 2, lost},
+		{"other backend servers refuse", 2, []error{unreached, refused}, 3, nil},
+		{"attempts are bounded", maxAttempts + 1, []error{unreached, unreached, unreached, unreached}, maxAttempts, unreached},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			home := &scriptedHome{errs: test.errs}
+			r := New(Options{
+				SelfID: "entry", Directory: directory(test.backends), Loads: loadtable.New(time.Second, time.Now),
+				Planner: orderedPlanner{}, Local: home,
+			})
+			err := r.Route(context.Background(), Request{Start: &peerpb.ForwardStart{Service: "klang-model"}}, nil)
+			is.Equal(home.runs, test.runs)
+			is.Equal(err == nil, test.err == nil)
+			if test.err != nil {
+				is.Equal(outcome.From(err).Outcome, outcome.From(test.err).Outcome)
+				is.Equal(outcome.From(err).Code, outcome.From(test.err).Code)
+			}
+		})
+	}
+}
+
+// directory returns a directory with one daemon and a number of backend servers.
+func directory(backends int) *member.Directory {
 	d := member.NewDirectory(member.Options{Self: &peerpb.Identity{Id: "entry"}, Site: "s"}, time.Now)
 	list := &platformapi.VMList{Version: 1, VMs: []platformapi.VM{
 		{ID: "entry", Role: platformapi.RoleEntry, Site: "s", Zone: "z", State: platformapi.StateLive},
 	}}
-	for i := range maxAttempts + 1 {
+	for i := range backends {
 		list.VMs = append(list.VMs, platformapi.VM{
 			ID: fmt.Sprintf("klang-%d", i), Role: platformapi.RoleBackend, Site: "s", Zone: "z",
 			Service: "klang-model", State: platformapi.StateLive,
