gateway/ingress: Stop closes a connection that has just become idle

Found by the review. Callers could see: nothing; a daemon that stops waited 0.2 s for an idle connection.

Cause: net/http reports a connection as idle and resets its read deadline just after that, so the deadline that ends it could be overwritten. CloseIdle is called again after a second; Stop expired idle connections once.

Change: Stop expires idle connections each 5 ms until there are none.

--- a/gateway/ingress/server.go
+++ b/gateway/ingress/server.go
@@ -84,13 +84,39 @@
 func (s *Server) Stop(timeout time.Duration) {
 	s.beginStop()
 	s.cancel(ErrStopped)
-	select {
-	case <-s.empty:
-	case <-time.After(timeout):
-	}
+	s.awaitEmpty(timeout)
 	s.http.Close()
 }
 
+// awaitEmpty waits until there are no connections, but at most for the timeout.
+// It expires idle connections repeatedly, since net/http resets the read deadline
+// of a connection just after it has reported it as idle.
+func (s *Server) awaitEmpty(timeout time.Duration) {
+	const interval = 5 * time.Millisecond
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	end := time.After(timeout)
+	for {
+		select {
+		case <-s.empty:
+			return
+		case <-end:
+			return
+		case <-ticker.C:
+			s.expireIdle()
+		}
+	}
+}
+
+// expireIdle makes net/http close all idle connections.
+func (s *Server) expireIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c, idle := range s.idle {
+		expire(c, idle)
+	}
+}
+
 // beginStop closes the listener and the idle connections.
 func (s *Server) beginStop() {
 	s.mu.Lock()
