daemon: a short grace period is used up to its last sixth

Callers could see: with a grace period of less than 4.2 s, a stream in progress was broken off earlier than a daemon has to end.

Cause: 0.7 s were kept back for the end of the process whatever the grace period.

The test says 2.3s != 2.5s on the code before. Deployments known have 8 s, where nothing changes.

--- a/gateway/daemon/drain.go
+++ b/gateway/daemon/drain.go
@@ -8,9 +8,11 @@
 	// lastRequestMargin is the time between the latest possible end of a request
 	// that is admitted during the drain and the end of the drain.
 	lastRequestMargin = 300 * time.Millisecond
-	// closeMargin is the time between the end of the drain, when requests in
-	// flight are ended, and the SIGKILL from the platform.
+	// closeMargin is the longest time between the end of the drain, when requests
+	// in flight are ended, and the SIGKILL from the platform.
 	closeMargin = 700 * time.Millisecond
+	// closeFraction is the part of a short grace period that is left instead.
+	closeFraction = 6
 	// minDrain is the shortest drain, unless the grace period is shorter. Callers
 	// keep connecting for this long to addresses that they have cached from the
 	// directory.
@@ -45,12 +47,17 @@
 	return t.latest.Sub(now) - lastRequestMargin, true
 }
 
+// longestDrain returns how long requests in flight may take after SIGTERM.
+func longestDrain(grace time.Duration) time.Duration {
+	return grace - min(closeMargin, grace/closeFraction)
+}
+
 // drain keeps serving while callers move to other daemons. It closes the
 // frontend once no request is in flight, but not before minDrain. Requests that
-// are in flight closeMargin before the end of the grace period are ended.
+// are still in flight after longestDrain are ended.
 func (d *Daemon) drain() {
 	start := time.Now()
-	longest := d.settings.Grace - closeMargin
+	longest := longestDrain(d.settings.Grace)
 	t := &drainTimes{earliest: start.Add(min(minDrain, longest)), latest: start.Add(longest)}
 	d.drainTimes.Store(t)
 	d.log.Lifecycle("drain_started", "")
--- a/gateway/daemon/drain_test.go
+++ b/gateway/daemon/drain_test.go
@@ -103,6 +103,14 @@
 	is.Equal(err, io.ErrUnexpectedEOF)
 }
 
+// Guards against requests that a short grace period allows to end and that are
+// broken off since a fixed time is kept back.
+func TestDrainUsesMostOfShortGracePeriod(t *testing.T) {
+	is := is.New(t)
+	is.Equal(longestDrain(8*time.Second), 8*time.Second-closeMargin)
+	is.Equal(longestDrain(3*time.Second), 2500*time.Millisecond)
+}
+
 // pipeListener accepts the server ends of in-memory connections.
 type pipeListener struct {
 	conns  chan net.Conn
