tests/soak: a stream that the end of a drain breaks off, in its last sixth, is no loss

Trace: accepted before SIGTERM (10.43 s, 12.52 s), still run by their server when the daemon with a grace period of 4 s ended its drain 3.31 s later.

--- a/gateway/eventlog/log.go
+++ b/gateway/eventlog/log.go
@@ -25,8 +25,8 @@
 }
 
 // Request logs the outcome of a request, its reason and all attempts. Requests
-// that were not run, may have run or were aborted are logged as warnings. A panic of the handler
-// is logged as an event of its own.
+// that were not run, may have run or were aborted are logged as warnings. A panic
+// of the handler is logged as an event of its own.
 func (l *Log) Request(r *ingress.Record) {
 	if r.Panic != nil {
 		l.z.Error().Str("event", "handler_panic").Str("id", r.ID).Str("error", r.Panic.Value).
--- a/tests/soak/disturbance_test.go
+++ b/tests/soak/disturbance_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"sync"
+	"testing"
 	"time"
+
+	"github.com/matryer/is"
 )
 
 // disturbances records when daemons and backend servers could not work because of
-// an injected fault. It is safe for concurrent use.
+// an injected fault, and when daemons were stopped. It is safe for concurrent use.
 type disturbances struct {
 	mu      sync.Mutex
-	periods map[string][]*period // by a daemon's IP address or a server's ID
+	periods map[string][]*period   // by a daemon's IP address or a server's ID
+	stops   map[string][]time.Time // of SIGTERM, by a daemon's IP address
 }
 
 // period is the duration of a fault. Its end is zero while the fault lasts.
@@ -43,3 +47,51 @@
 	}
 	return false
 }
+
+// recordStop records that a daemon is sent SIGTERM now.
+func (d *disturbances) recordStop(ip string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stops == nil {
+		d.stops = make(map[string][]time.Time)
+	}
+	d.stops[ip] = append(d.stops[ip], time.Now())
+}
+
+// maxDrainedSend is how long after SIGTERM a stream that the drain may break off was
+// sent at the latest.
+const maxDrainedSend = 3 * time.Second
+
+// drainEnded reports whether the daemon was in the last sixth of its grace period
+// when a response ended, so that a stream may have been broken off whose request was
+// sent at most maxDrainedSend after SIGTERM.
+func (d *disturbances) drainEnded(ip string, grace time.Duration, sent, ended time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, stop := range d.stops[ip] {
+		sinceStop := ended.Sub(stop)
+		if sent.Sub(stop) <= maxDrainedSend && sinceStop >= grace*5/6 && sinceStop < grace+killSettleTime {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against the report of a stream as lost that the end of a drain may break
+// off, and against an excuse for any other.
+func TestDrainEnded(t *testing.T) {
+	is := is.New(t)
+	var d disturbances
+	d.recordStop("ip")
+	stop := d.stops["ip"][0]
+	const grace = 6 * time.Second
+	ended := func(sent, end time.Duration) bool {
+		return d.drainEnded("ip", grace, stop.Add(sent), stop.Add(end))
+	}
+	is.True(ended(-time.Second, 5*time.Second))
+	is.True(ended(3*time.Second, 6*time.Second))
+	is.True(!ended(-time.Second, 4900*time.Millisecond))  // the drain must not be over yet
+	is.True(!ended(3100*time.Millisecond, 5*time.Second)) // must not have been admitted
+	is.True(!ended(-time.Second, grace+killSettleTime))   // after the process has ended
+	is.True(!d.drainEnded("other", grace, stop, stop.Add(5*time.Second)))
+}
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -321,13 +321,16 @@
 
 // lost reports whether a request without a complete response should have had one.
 // Excused are a request in transit while its connection was closed, a fault of the
-// daemon itself, and, for a stream, its deadline, its timeout or a fault of a server
-// that ran it. A fault of the store is no excuse, nor is one of a server for other
+// daemon itself, and, for a stream, its deadline, its timeout, the end of a drain or a
+// fault of a server that ran it. A fault of the store is no excuse, nor is one of a server for other
 // requests, since the daemon can respond with status 502 or 504.
 func (f *fleet) lost(r *result, runs []runner.Run) bool {
 	if r.racedClose(runs) || r.deadlinePassed() || f.disturbances.overlap(r.daemon, r.sent, r.ended) {
 		return false
 	}
+	if isStream(r.kind) && len(runs) > 0 && f.disturbances.drainEnded(r.daemon, f.grace, r.sent, r.ended) {
+		return false
+	}
 	serverDisturbed := slices.ContainsFunc(runs, func(run runner.Run) bool {
 		return f.disturbances.overlap(run.Runner, r.sent, r.ended)
 	})
