peers: log and count failed fetches of a peer's state

A daemon that fails to fetch a newer state left no trace, so a late configuration could not be told apart from one that was never announced. Each failure now has a line peer_fetch_failed with peer, duration and error, and is counted.

--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -165,6 +165,12 @@
 	d.metrics.Request(r.Service, string(r.Outcome), string(r.Reason), r.FirstByte, r.Duration)
 }
 
+// PeerFetchFailed implements peers.FetchLog. It logs and counts the failure.
+func (d *Daemon) PeerFetchFailed(ip string, took time.Duration, err error) {
+	d.log.PeerFetchFailed(ip, took, err)
+	d.metrics.Count("peer_fetch_failures")
+}
+
 // countDial counts an attempt to connect to a backend server.
 func (d *Daemon) countDial(err error) {
 	if err != nil {
--- a/gateway/daemon/listen.go
+++ b/gateway/daemon/listen.go
@@ -19,7 +19,7 @@
 	if err != nil {
 		return err
 	}
-	fetcher := peers.NewFetcher(d.catalog, boottime.Now, port, d.reader)
+	fetcher := peers.NewFetcher(d.catalog, boottime.Now, port, d.reader, d)
 	addr, err := net.ResolveUDPAddr("udp4", s.Exchange)
 	if err != nil {
 		return err
--- a/gateway/eventlog/log.go
+++ b/gateway/eventlog/log.go
@@ -115,6 +115,11 @@
 		Int64("confirmed_ms", age.Milliseconds()).Msg("")
 }
 
+// PeerFetchFailed logs that a peer's newer state could not be fetched.
+func (l *Log) PeerFetchFailed(ip string, took time.Duration, err error) {
+	l.z.Warn().Str("event", "peer_fetch_failed").Str("peer", ip).Int64("took_ms", took.Milliseconds()).Err(err).Msg("")
+}
+
 // CacheListed implements cachescan.Log. It logs how many prompt parts a server's
 // cache holds, or why they could not be listed.
 func (l *Log) CacheListed(server string, parts int, err error) {
--- a/gateway/peers/fetch.go
+++ b/gateway/peers/fetch.go
@@ -100,6 +100,13 @@
 	AdoptFromPeer(origin string, s catalog.State, at boottime.Instant)
 }
 
+// FetchLog records fetches that failed.
+type FetchLog interface {
+	// PeerFetchFailed is called when the state of the peer at an IP address could
+	// not be fetched.
+	PeerFetchFailed(ip string, took time.Duration, err error)
+}
+
 // HTTPFetcher fetches states from peers over HTTP, one at a time. It implements
 // Fetcher and is safe for concurrent use.
 type HTTPFetcher struct {
@@ -108,6 +115,7 @@
 	clock    boottime.Clock
 	port     string
 	adopter  Adopter
+	log      FetchLog
 	fetching atomic.Bool // a fetch is in progress
 }
 
@@ -142,7 +150,7 @@
 
 // NewFetcher returns a fetcher that connects to peers at the given port and passes
 // their states to the adopter.
-func NewFetcher(c *catalog.Catalog, clock boottime.Clock, port string, a Adopter) *HTTPFetcher {
+func NewFetcher(c *catalog.Catalog, clock boottime.Clock, port string, a Adopter, log FetchLog) *HTTPFetcher {
 	return &HTTPFetcher{
 		client: &http.Client{
 			Timeout: fetchTimeout,
@@ -158,6 +166,7 @@
 		clock:   clock,
 		port:    port,
 		adopter: a,
+		log:     log,
 	}
 }
 
@@ -169,8 +178,11 @@
 	}
 	go func() {
 		defer f.fetching.Store(false)
+		start := f.clock()
 		// A failed fetch is repeated after the peer's next datagram.
-		_ = f.fetch(ctx, ip)
+		if err := f.fetch(ctx, ip); err != nil {
+			f.log.PeerFetchFailed(ip, f.clock().Sub(start), err)
+		}
 	}()
 }
 
--- a/gateway/peers/fetch_test.go
+++ b/gateway/peers/fetch_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,6 +31,11 @@
 	a.state, a.at = s, at
 }
 
+// fetchLog counts failed fetches.
+type fetchLog struct{ failed atomic.Int32 }
+
+func (l *fetchLog) PeerFetchFailed(string, time.Duration, error) { l.failed.Add(1) }
+
 // Load pattern: a configuration grows to thousands of routes. Its transfer to a
 // peer over the link of a small VM must take a fraction of the time within which
 // the configuration has to be in force.
@@ -49,7 +55,7 @@
 	host, port, err := net.SplitHostPort(strings.TrimPrefix(server.URL, "http://"))
 	is.NoErr(err)
 	got := &adopted{}
-	f := NewFetcher(catalog.New(clock), clock, port, got)
+	f := NewFetcher(catalog.New(clock), clock, port, got, &fetchLog{})
 	is.NoErr(f.fetch(context.Background(), host))
 	is.Equal(got.state.Raw, document)
 	is.Equal(got.state.Servers, []catalog.Server{{ID: "a"}})
@@ -74,7 +80,7 @@
 		t.Fatal(err)
 	}
 	got := &adopted{}
-	f := NewFetcher(catalog.New(boottime.Now), boottime.Now, port, got)
+	f := NewFetcher(catalog.New(boottime.Now), boottime.Now, port, got, &fetchLog{})
 	f.client.Timeout = time.Minute // no verdict depends on the speed of the machine
 	return got, f.fetch(t.Context(), host)
 }
