peers: no fetch waits on a connection that has fallen silent

What callers saw: (suspected) a 401 or 404 by an older version, more than 2 s after the ack of a newer one, from a daemon that had been free of faults for 3 s.

Cause: fetches of a peer's state used connections that were kept for 20 s. If all open connections have fallen silent, without a reset, a daemon finds out when it needs the next version: the fetch hangs until its timeout of 1.2 s, after the 0.45 to 0.9 s that the version took to be read. A peer that is fetched from next may have such a connection too. Daemons that don't read the store regularly need these connections only when something changes, so in a calm fleet the silence is found long after the 3 s for which it excuses them.

Change: each fetch opens a connection of its own. Fetches are rare, one for each change of the state; connections between daemons aren't billed.

One of two faults that delay a version here; the class is: an idle connection is taken for a working one.

--- a/gateway/peers/fetch.go
+++ b/gateway/peers/fetch.go
@@ -155,8 +155,7 @@
 		client: &http.Client{
 			Timeout: fetchTimeout,
 			Transport: &http.Transport{
-				MaxIdleConnsPerHost:    1,
-				IdleConnTimeout:        20 * time.Second,
+				DisableKeepAlives:      true, // a connection may have fallen silent since it was last used
 				DisableCompression:     true,
 				MaxResponseHeaderBytes: maxHeaderBytes,
 			},
