peers: an unresponsive peer no longer blocks fetches from the others

Cause: one fetch at a time. While it hangs, for up to 1.2 s, because the peer has frozen, lost power or been cut off right after its datagram, the datagrams of all other peers that have the same state are ignored.

Evidence: the new test, a silent peer beside a healthy one, failed before the change: the healthy peer's state was not adopted.

Change: after 0.3 s a fetch from another peer may start beside it, at most three.

--- a/gateway/peers/fetch.go
+++ b/gateway/peers/fetch.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"cassialatch.dev/gateway/boottime"
@@ -107,20 +106,27 @@
 	PeerFetchFailed(ip string, took time.Duration, err error)
 }
 
-// HTTPFetcher fetches states from peers over HTTP, one at a time. It implements
-// Fetcher and is safe for concurrent use.
+// HTTPFetcher fetches states from peers over HTTP. It implements Fetcher and is
+// safe for concurrent use.
 type HTTPFetcher struct {
-	client   *http.Client
-	catalog  *catalog.Catalog
-	clock    boottime.Clock
-	port     string
-	adopter  Adopter
-	log      FetchLog
-	fetching atomic.Bool // a fetch is in progress
+	client  *http.Client
+	catalog *catalog.Catalog
+	clock   boottime.Clock
+	port    string
+	adopter Adopter
+	log     FetchLog
+
+	mu        sync.Mutex
+	fetching  map[string]bool  // IP addresses of the peers that are being fetched from
+	startedAt boottime.Instant // when the latest fetch started
 }
 
 const (
-	fetchTimeout   = 1200 * time.Millisecond
+	fetchTimeout = 1200 * time.Millisecond
+	// hedgeDelay is how long a fetch may be in progress before a state is fetched
+	// from another peer too: the first peer may have frozen or been cut off.
+	hedgeDelay     = 300 * time.Millisecond
+	maxFetches     = 3        // at the same time
 	maxHeaderBytes = 16 << 10 // of a response, with those of interim (1xx) responses
 	maxStateBytes  = 8 << 20  // of a response, with the compressed document
 	maxDocument    = 16 << 20 // bytes, decompressed
@@ -166,17 +172,19 @@
 		port:    port,
 		adopter: a,
 		log:     log,
+
+		fetching: make(map[string]bool),
 	}
 }
 
-// Fetch fetches the state of a peer in the background. It does nothing if another
-// fetch is in progress.
+// Fetch fetches the state of a peer in the background. It does nothing if a fetch
+// from this peer, a recent one from another peer or maxFetches are in progress.
 func (f *HTTPFetcher) Fetch(ctx context.Context, ip string) {
-	if !f.fetching.CompareAndSwap(false, true) {
+	if !f.begin(ip) {
 		return
 	}
 	go func() {
-		defer f.fetching.Store(false)
+		defer f.end(ip)
 		start := f.clock()
 		// A failed fetch is repeated after the peer's next datagram.
 		if err := f.fetch(ctx, ip); err != nil {
@@ -185,6 +193,28 @@
 	}()
 }
 
+// begin records the start of a fetch. It returns false if none may start.
+func (f *HTTPFetcher) begin(ip string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock()
+	if f.fetching[ip] || len(f.fetching) >= maxFetches {
+		return false
+	}
+	if len(f.fetching) > 0 && now.Sub(f.startedAt) < hedgeDelay {
+		return false
+	}
+	f.fetching[ip], f.startedAt = true, now
+	return true
+}
+
+// end records the end of a fetch.
+func (f *HTTPFetcher) end(ip string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.fetching, ip)
+}
+
 // fetch fetches the state of a peer and passes it to the adopter. The confirmation
 // is dated from the start of the request, so it never appears fresher than it is.
 // Errors are of type *FetchError.
--- a/gateway/peers/silence_test.go
+++ b/gateway/peers/silence_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -13,6 +16,9 @@
 	"cassialatch.dev/gateway/catalog"
 )
 
+// hangTimeout ends a test that would otherwise not end.
+const hangTimeout = 20 * time.Second
+
 // serveState starts a peer at a loopback address that answers the given number of
 // requests on each connection and then falls silent on it. It returns its port.
 func serveState(t *testing.T, address string, responses int) (port string) {
@@ -62,3 +68,33 @@
 	is.NoErr(f.fetch(t.Context(), "127.0.0.1"))
 	is.NoErr(f.fetch(t.Context(), "127.0.0.1"))
 }
+
+// adoptions is an Adopter that sends the origin of each state.
+type adoptions chan string
+
+func (a adoptions) AdoptFromPeer(origin string, _ catalog.State, _ boottime.Instant) { a <- origin }
+
+// Guards against a configuration that is learned late because a peer that has
+// frozen or lost power keeps the state of all others from being fetched.
+func TestFetch_UnresponsivePeerDoesNotBlockOthers(t *testing.T) {
+	is := is.New(t)
+	const frozen, healthy = "127.0.0.1", "127.0.0.2"
+	port := serveState(t, frozen+":0", 0)
+	serveState(t, net.JoinHostPort(healthy, port), 1)
+	var now atomic.Int64
+	now.Store(int64(time.Hour))
+	got := make(adoptions, 1)
+	f := NewFetcher(catalog.New(boottime.Now), func() boottime.Instant { return boottime.Instant(now.Load()) }, port, got, &fetchLog{})
+	f.client.Timeout = 2 * hangTimeout
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	f.Fetch(ctx, frozen)
+	now.Add(int64(time.Second))
+	f.Fetch(ctx, healthy)
+	select {
+	case origin := <-got:
+		is.Equal(origin, healthy)
+	case <-time.After(hangTimeout):
+		is.Fail() // no state was adopted
+	}
+}
--- a/gateway/reader/reader.go
+++ b/gateway/reader/reader.go
@@ -101,7 +101,7 @@
 )
 
 // Reader polls the store and writes what it reads to the catalog.
-// AdoptFromPeer may be called concurrently with Run; DelayFirstPoll must be
+// AdoptFromPeer may be called concurrently with Run and itself; DelayFirstPoll must be
 // called before Run.
 type Reader struct {
 	source  Source
