--- a/standin/metastore/metastore.go
+++ b/standin/metastore/metastore.go
@@ -24,16 +24,20 @@
 	Deleted  bool   `json:"deleted,omitempty"`
 }
 
+// watchPath is the path of calls that ask for the changes since a revision.
+const watchPath = "/kv-watch"
+
 // Mode determines how the store handles calls.
 type Mode int
 
 // Modes of a Store.
 const (
-	Up             Mode = iota // serves all calls
-	Busy                       // responds with status 503
-	Unresponsive               // does not respond until the caller closes the connection
-	Reset                      // closes the connection without a response
-	WatchesStalled             // watches return no events; reads work
+	Up                  Mode = iota // serves all calls
+	Busy                            // responds with status 503
+	Unresponsive                    // does not respond until the caller closes the connection
+	Reset                           // closes the connection without a response
+	WatchesStalled                  // watches return no events; reads work
+	WatchesUnresponsive             // watches get no response; reads work
 )
 
 // Store is an in-memory metadata store. It implements http.Handler and is safe for
@@ -110,13 +114,17 @@
 	case Reset:
 		panic(http.ErrAbortHandler)
 	}
+	if mode == WatchesUnresponsive && r.URL.Path == watchPath {
+		<-r.Context().Done()
+		return
+	}
 	q := r.URL.Query()
 	switch r.URL.Path {
 	case "/kv-key":
 		s.serveKey(w, q.Get("key"))
 	case "/kv-range":
 		s.serveRange(w, q.Get("pathPrefix"), q.Get("after"))
-	case "/kv-watch":
+	case watchPath:
 		s.serveWatch(w, r)
 	default:
 		w.WriteHeader(http.StatusNotFound)
