ingress: no final refusal by a configuration that may be outdated

What callers saw: 401 or 404, which is final, by an older version, though a newer one with the route or key had been acked more than 2 s before.

Cause: admit refused by the configuration at hand, whatever its age. A daemon knows when its configuration was last confirmed, and so whether it can have missed a version that must be in force. It also loaded the view before the age: a view that was replaced between the two looked fresher than it is.

If the age at the decision is below the bound, the configuration was complete at a moment less than the bound before the request was sent, so every version acked longer ago is in it: the refusal can't break the rule, for whatever reason a version is late.

Change: while the configuration was not confirmed within configApplyMs, such a request gets 503 with Retry-After, reason configuration_stale. Requests that it permits are served as before.

--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -135,7 +135,7 @@
 		CacheIndex:      d.cacheIndex,
 		FleetSize:       d.peers.FleetSize,
 		Recorder:        d,
-		Settings:        ingress.Settings{Zone: s.Zone, KeyLease: s.KeyLease, BodyBytes: int64(float64(s.MemoryBytes) * bodyMemoryRatio)},
+		Settings:        ingress.Settings{Zone: s.Zone, KeyLease: s.KeyLease, ConfigLag: s.ConfigLag, BodyBytes: int64(float64(s.MemoryBytes) * bodyMemoryRatio)},
 		Draining:        d.drainTimeLeft,
 		TriggerExchange: triggerExchange,
 		CachesKnown:     d.scanner.Done(),
--- a/gateway/daemon/settings.go
+++ b/gateway/daemon/settings.go
@@ -18,6 +18,7 @@
 	MemoryBytes int64    // memory available to the process; 0: no limit
 	Retry       RetryBudget
 	KeyLease    time.Duration // how long API keys are accepted after the last confirmation; 0: no limit
+	ConfigLag   time.Duration // within which a new configuration must be in force; 0: no limit
 	Grace       time.Duration // between SIGTERM and SIGKILL
 	// FirstStart is set if the whole fleet starts for the first time: no daemon
 	// has any state to share, and all caches of backend servers are empty.
--- a/gateway/ingress/admit.go
+++ b/gateway/ingress/admit.go
@@ -18,8 +18,8 @@
 // admit validates a request before any server is chosen. It returns either the
 // request's state or a rejection.
 func (h *Handler) admit(w http.ResponseWriter, r *http.Request, rec *Record) (*request, *rejection) {
+	age, confirmed := h.Catalog.Age() // before the view, which may be newer but not older
 	view := h.Catalog.View()
-	age, confirmed := h.Catalog.Age()
 	rec.StoreRevision, rec.ConfirmedAge = view.Revision, age
 	if view.Table == nil || !confirmed {
 		return nil, notRun(ReasonNoConfig, noConfigRetryAfter)
@@ -32,7 +32,7 @@
 	}
 	rt := view.Table.Match(r.Host, r.URL.Path)
 	if rt == nil {
-		return nil, refuse(http.StatusNotFound, ReasonNoRoute)
+		return nil, h.refuseByConfig(age, http.StatusNotFound, ReasonNoRoute)
 	}
 	rec.Route = rt.Name
 	q := &request{
@@ -46,7 +46,7 @@
 		}
 		q.ws = view.Table.Workspace(parsed.Key)
 		if q.ws == nil {
-			return nil, refuse(http.StatusUnauthorized, ReasonUnknownKey)
+			return nil, h.refuseByConfig(age, http.StatusUnauthorized, ReasonUnknownKey)
 		}
 		rec.Workspace = q.ws.Name
 	}
@@ -98,6 +98,16 @@
 	return ok && age < h.Settings.KeyLease-keyLeaseMargin
 }
 
+// refuseByConfig returns the rejection of a request that the configuration at hand
+// does not permit. age is the time since that configuration was confirmed. If a
+// newer one may permit the request, the caller is told to come back.
+func (h *Handler) refuseByConfig(age time.Duration, status int, reason Reason) *rejection {
+	if h.Settings.ConfigLag > 0 && age >= h.Settings.ConfigLag {
+		return notRun(ReasonConfigStale, leaseRetryAfter)
+	}
+	return refuse(status, reason)
+}
+
 // reauthorize checks, just before a request is sent, that the key lease is valid
 // and that the configuration in force still maps the key to the same workspace.
 func (q *request) reauthorize() *rejection {
@@ -107,9 +117,10 @@
 	if !q.h.keyLeaseValid() {
 		return notRun(ReasonKeyLeaseExpired, leaseRetryAfter)
 	}
+	age, _ := q.h.Catalog.Age() // before the view, as in admit
 	ws := q.h.Catalog.View().Table.Workspace(q.call.Key)
 	if ws == nil || ws.Name != q.ws.Name {
-		return refuse(http.StatusUnauthorized, ReasonUnknownKey)
+		return q.h.refuseByConfig(age, http.StatusUnauthorized, ReasonUnknownKey)
 	}
 	return nil
 }
--- a/gateway/ingress/handler.go
+++ b/gateway/ingress/handler.go
@@ -35,6 +35,10 @@
 	// KeyLease is how long API keys are accepted after the last confirmation of
 	// the configuration; 0 means without limit.
 	KeyLease time.Duration
+	// ConfigLag is the time within which a new configuration must be in force. A
+	// daemon whose configuration was not confirmed for longer does not refuse
+	// requests by it; 0 means without limit.
+	ConfigLag time.Duration
 	// BodyBytes is the memory for the request bodies that are held at once; 0
 	// means without limit.
 	BodyBytes int64
--- a/gateway/ingress/ingress_test.go
+++ b/gateway/ingress/ingress_test.go
@@ -165,11 +165,15 @@
 	{Name: "public", Prefix: "/public/", Kind: route.Safe, Public: true, MaxAttempts: 1, Timeout: time.Second},
 }
 
+// now is the clock of the catalog.
+func (f *fixture) now() boottime.Instant {
+	return boottime.Instant(time.Hour) + boottime.Instant(f.clockOffset.Load())
+}
+
 // newFixture starts a handler with the backends as the servers of its service.
 func newFixture(t *testing.T, backends ...*backend) *fixture {
 	f := &fixture{records: &records{}}
-	clock := func() boottime.Instant { return boottime.Instant(time.Hour) + boottime.Instant(f.clockOffset.Load()) }
-	f.catalog = catalog.New(clock)
+	f.catalog = catalog.New(f.now)
 	config := &route.Config{
 		Version:    1,
 		Services:   []route.Service{{Name: "s"}},
@@ -185,7 +189,7 @@
 	for i, b := range backends {
 		state.Servers = append(state.Servers, catalog.Server{ID: fmt.Sprint("b", i), Service: "s", Address: b.address})
 	}
-	f.catalog.Adopt(state, route.NewTable(config), clock())
+	f.catalog.Adopt(state, route.NewTable(config), f.now())
 	cachesKnown := make(chan struct{})
 	close(cachesKnown)
 	f.handler = &Handler{
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -33,6 +33,7 @@
 	ReasonNoConfig         Reason = "no_configuration"
 	ReasonBadHeader        Reason = "bad_header"
 	ReasonNoRoute          Reason = "no_route"
+	ReasonConfigStale      Reason = "configuration_stale" // the request is not permitted, but by a configuration that may be outdated
 	ReasonKeyLeaseExpired  Reason = "configuration_not_confirmed"
 	ReasonUnknownKey       Reason = "unknown_key"
 	ReasonBodyTooLarge     Reason = "body_too_large"
