quarantine: refuse requests with a part that crashes servers

Cause: a request that crashes servers was recognised by a hash of its host, path, key and body. Requests that share the part have different bodies, so each counted as one crash. Charging every part with every crash would be no better: a crash also breaks off the sound requests on the server, which share the workspace and the other parts. Besides, a daemon reported its own counts only. They ended with its process, and in a large fleet reached others only when these were among its random targets.

Each crashed server had one request of one workspace with the last shared part that got the head of its response and no event within 60 to 130 ms; the 1 to 14 others had received events. No request with that part was ever answered. The new test of ingress fails on the old code: all 12 servers crash.

Change: daemons report each interrupted run, with the parts of its prompt, and relay what they receive. A part is banned after three successive crashes (four, if it isn't the last shared one) at the start of runs, on different servers, of different requests, with no run in between in which it did no harm. Servers that fail together count once. What is explained by a ban is not charged to anything else, and a run that does well lifts it. A banned request is refused at once, also before a retry.

The tests cover what must not happen, too: refusing sound requests that share the key, the first part or the server, parts after a mass crash, or the parts of a single request that crashes servers.

--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -140,6 +140,7 @@
 		TriggerExchange: triggerExchange,
 		CachesKnown:     d.scanner.Done(),
 	}
+	d.quarantine.Log = d.log
 	d.frontend = ingress.NewServer(d.handler)
 	d.pool.OnDial = d.countDial
 	d.registerGauges()
--- a/gateway/eventlog/log.go
+++ b/gateway/eventlog/log.go
@@ -7,7 +7,10 @@
 
 	"github.com/rs/zerolog"
 
+	"cassialatch.dev/gateway/cacheindex"
+	"cassialatch.dev/gateway/call"
 	"cassialatch.dev/gateway/ingress"
+	"cassialatch.dev/gateway/quarantine"
 )
 
 // Log writes one line for each request and for each change of the daemon's
@@ -49,6 +52,9 @@
 	if r.PromptKey != 0 {
 		e.Str("prompt", strconv.FormatUint(uint64(r.PromptKey), 16))
 	}
+	if len(r.CrashParts) > 0 {
+		e.Strs("parts", partNames(r.CrashParts))
+	}
 	if r.Resumptions > 0 {
 		e.Int("resumed", r.Resumptions)
 	}
@@ -120,6 +126,36 @@
 	l.z.Warn().Str("event", "peer_fetch_failed").Str("peer", ip).Int64("took_ms", took.Milliseconds()).Err(err).Msg("")
 }
 
+// Quarantined implements quarantine.Log. It logs that requests are refused because
+// they crash servers. Parts have the names that they have in request lines.
+func (l *Log) Quarantined(b quarantine.Ban, crashes int) {
+	l.quarantine("quarantined", b.Parts).Str("fingerprint", strconv.FormatUint(b.Fingerprint, 16)).
+		Int("crashes", crashes).Msg("")
+}
+
+// QuarantineLifted implements quarantine.Log. It logs that a part does no harm.
+func (l *Log) QuarantineLifted(part uint64) {
+	l.quarantine("quarantine_lifted", []uint64{part}).Msg("")
+}
+
+// quarantine returns a line about parts of prompts.
+func (l *Log) quarantine(event string, parts []uint64) *zerolog.Event {
+	keys := make([]cacheindex.PartKey, len(parts))
+	for i, p := range parts {
+		keys[i] = cacheindex.KeyOf(call.Part{ID: p})
+	}
+	return l.z.Warn().Str("event", event).Strs("parts", partNames(keys))
+}
+
+// partNames returns the short names of parts of prompts.
+func partNames(keys []cacheindex.PartKey) []string {
+	names := make([]string, len(keys))
+	for i, k := range keys {
+		names[i] = strconv.FormatUint(uint64(k), 16)
+	}
+	return names
+}
+
 // CacheListed implements cachescan.Log. It logs how many prompt parts a server's
 // cache holds, or why they could not be listed.
 func (l *Log) CacheListed(server string, parts int, err error) {
--- a/gateway/ingress/admit.go
+++ b/gateway/ingress/admit.go
@@ -62,9 +62,9 @@
 	if reject := q.readBody(w, r, view.Table.Limits().BodyBytes); reject != nil {
 		return nil, reject
 	}
-	q.fingerprint = quarantine.Fingerprint(r.Host, r.URL.Path, parsed.Key, q.body)
-	if h.Quarantine.ShouldRefuse(q.fingerprint) {
-		return nil, notRun(ReasonCrashesServers, 0)
+	q.subject.Fingerprint = quarantine.Fingerprint(r.Host, r.URL.Path, parsed.Key, q.body)
+	for _, p := range q.call.SharedParts() {
+		q.subject.Parts = append(q.subject.Parts, p.ID)
 	}
 	// Only the deadline bounds how long a request takes: a server may compute a
 	// stream slowly, or queue or preempt it.
--- /dev/null
+++ b/gateway/ingress/crash.go
@@ -0,0 +1,53 @@
+package ingress
+
+import (
+	"time"
+
+	"cassialatch.dev/gateway/cacheindex"
+	"cassialatch.dev/gateway/catalog"
+	"cassialatch.dev/gateway/quarantine"
+)
+
+// soundAfter is how long after the first event of a stream a request is known not to
+// crash its server: those that do crash it when it begins to write the response.
+const soundAfter = 500 * time.Millisecond
+
+// recordCrash records that the connection to the server broke while it ran the
+// request.
+func (q *request) recordCrash(s *catalog.Server, a *Attempt) {
+	q.rec.CrashParts = nil
+	for _, p := range q.call.SharedParts() {
+		q.rec.CrashParts = append(q.rec.CrashParts, cacheindex.KeyOf(p))
+	}
+	q.h.Quarantine.RecordCrash(&quarantine.Run{
+		Subject: q.subject,
+		Server:  s.Tag(),
+		SentAt:  a.start,
+		AtStart: !a.sound && !a.answering(),
+	})
+	q.h.TriggerExchange()
+}
+
+// answering reports whether the server has been writing the response for soundAfter.
+func (a *Attempt) answering() bool {
+	return !a.firstEvent.IsZero() && time.Since(a.firstEvent) >= soundAfter
+}
+
+// recordEvents records that complete events of a stream have arrived.
+func (q *request) recordEvents(a *Attempt) {
+	if a.firstEvent.IsZero() {
+		a.firstEvent = time.Now()
+	}
+	if a.answering() {
+		q.recordSound(a)
+	}
+}
+
+// recordSound records, once for each attempt, that the run does no harm.
+func (q *request) recordSound(a *Attempt) {
+	if a.sound {
+		return
+	}
+	a.sound = true
+	q.h.Quarantine.RecordSound(&q.subject)
+}
--- /dev/null
+++ b/gateway/ingress/crash_test.go
@@ -0,0 +1,72 @@
+package ingress
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// crashOn returns a script of a server that crashes when it begins to write the
+// response to a request with the given part in its prompt, and streams events to
+// all others. head is what it sends before it crashes.
+func crashOn(part, head string) func(*backend, *http.Request, net.Conn) {
+	return func(b *backend, req *http.Request, c net.Conn) {
+		id := req.Header.Get("Id")
+		if !strings.Contains(","+req.Header.Get("Parts")+",", ","+part+",") {
+			body := "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+			writeResponse(c, id, "", body)
+			return
+		}
+		b.stop()
+		fmt.Fprintf(c, head, id)
+		resetConn(b, req, c)
+	}
+}
+
+// Guards against requests with different content, of which each crashes another
+// server because of a part that their prompts share. Requests with the same key and
+// their other parts are served.
+func TestHandler_RefusesRequestsWithPartThatCrashesServers(t *testing.T) {
+	for name, head := range map[string]string{
+		"before the response":       "",
+		"after the head":            "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: x\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"within an event":           "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: x\r\nTransfer-Encoding: chunked\r\n\r\n8\r\nid: 1\nda\r\n",
+		"response without a length": "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: x\r\n\r\nid: 1\nda",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			const servers, requests = 12, 30
+			var backends []*backend
+			for range servers {
+				backends = append(backends, startBackend(t, crashOn("66", head)))
+			}
+			f := newFixture(t, backends...)
+			refused := 0
+			for n := range requests {
+				resp, _, err := f.do(t, fmt.Sprintf("/once/bad-%d", n), "Id", fmt.Sprint("bad", n), "Parts", fmt.Sprintf("1,66,%d", 100+n))
+				is.NoErr(err)
+				if resp.StatusCode == http.StatusServiceUnavailable {
+					refused++
+				}
+				id := fmt.Sprint("sound", n)
+				resp, body, err := f.do(t, "/once/sound", "Id", id, "Parts", fmt.Sprintf("1,%d,%d", 7+n%3, 200+n))
+				is.NoErr(err)
+				is.Equal(resp.StatusCode, http.StatusOK)
+				is.True(strings.Contains(body, "data: b"))
+			}
+			down := 0
+			for _, b := range backends {
+				if b.stopped.Load() {
+					down++
+				}
+			}
+			t.Logf("%d servers crashed", down)
+			is.Equal(down, 3)
+			is.Equal(refused, requests-down)
+		})
+	}
+}
--- a/gateway/ingress/handler.go
+++ b/gateway/ingress/handler.go
@@ -119,19 +119,19 @@
 
 // request holds the state of one request while the handler serves it.
 type request struct {
-	h           *Handler
-	rec         *Record
-	call        call.Request
-	route       *route.Route
-	service     *route.Service
-	ws          *route.Workspace // nil on public routes
-	deadline    time.Duration    // measured from rec.Start
-	method      string
-	target      string
-	host        string
-	header      http.Header
-	body        []byte
-	fingerprint uint64
+	h        *Handler
+	rec      *Record
+	call     call.Request
+	route    *route.Route
+	service  *route.Service
+	ws       *route.Workspace // nil on public routes
+	deadline time.Duration    // measured from rec.Start
+	method   string
+	target   string
+	host     string
+	header   http.Header
+	body     []byte
+	subject  quarantine.Subject
 
 	tried          map[string]bool   // IDs of the servers that were tried
 	mayHaveRun     bool              // a server may have run the request
--- a/gateway/ingress/ingress_test.go
+++ b/gateway/ingress/ingress_test.go
@@ -29,7 +29,7 @@
 	"cassialatch.dev/gateway/upstream"
 )
 
-// twoParts holds the prompt of requests that have the Parts header.
+// twoParts holds the prompt of requests whose Parts header does not list any IDs.
 var twoParts = call.Request{Parts: []call.Part{{ID: 1, Tokens: 500}, {ID: 2, Tokens: 300}}, PromptTokens: 800}
 
 // dialect is a minimal call.Dialect.
@@ -42,14 +42,24 @@
 	}
 	// The header is absent if the number of tokens is not bounded.
 	_, _ = fmt.Sscan(h.Get("Max-Tokens"), &r.MaxOutputTokens)
-	if h.Get("Parts") != "" {
+	switch parts := h.Get("Parts"); {
+	case strings.Contains(parts, ","):
+		for p := range strings.SplitSeq(parts, ",") {
+			var id uint64
+			if _, err := fmt.Sscan(p, &id); err != nil {
+				return r, err
+			}
+			r.Parts = append(r.Parts, call.Part{ID: id, Tokens: 100})
+			r.PromptTokens += 100
+		}
+	case parts != "":
 		r.Parts, r.PromptTokens = twoParts.Parts, twoParts.PromptTokens
 	}
 	return r, nil
 }
 
 func (dialect) OutboundHeader(h http.Header, a call.Attempt) http.Header {
-	return http.Header{"Id": h["Id"], "Server": {a.ServerID}, "Last-Event-Id": {a.ResumeAfter}, "Workspace": {a.Workspace}}
+	return http.Header{"Id": h["Id"], "Server": {a.ServerID}, "Last-Event-Id": {a.ResumeAfter}, "Workspace": {a.Workspace}, "Parts": h["Parts"]}
 }
 
 func (dialect) ParseResponse(resp *http.Response) call.ResponseHead {
@@ -68,6 +78,8 @@
 type backend struct {
 	address string
 	runs    atomic.Int32 // requests received
+	stop    func()       // closes the listener
+	stopped atomic.Bool
 }
 
 // startBackend starts a backend whose script writes responses to the connection.
@@ -77,6 +89,10 @@
 		t.Fatal(err)
 	}
 	b := &backend{address: l.Addr().String()}
+	b.stop = func() {
+		b.stopped.Store(true)
+		l.Close()
+	}
 	var wg sync.WaitGroup
 	wg.Go(func() {
 		for {
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -69,6 +69,10 @@
 	Reason        Reason
 	Detail        string // cause of a failure, for the log
 	Duration      time.Duration
+
+	start      time.Time
+	firstEvent time.Time // when the first complete event of a stream arrived; zero before
+	sound      bool      // it was recorded that the run does no harm
 }
 
 // Record describes a request that has ended.
@@ -90,9 +94,10 @@
 	Reason        Reason
 	FirstByte     time.Duration // time until the first byte of the response was forwarded
 	Duration      time.Duration
-	Writes        int    // writes of stream events to the caller
-	Resumptions   int    // attempts that resumed a stream on another server
-	Panic         *Panic // nil unless the handler panicked
+	Writes        int                  // writes of stream events to the caller
+	Resumptions   int                  // attempts that resumed a stream on another server
+	CrashParts    []cacheindex.PartKey // shared parts of the prompt, in order, if a server crashed while it ran the request
+	Panic         *Panic               // nil unless the handler panicked
 
 	body bodyMemory // released when the request ends
 }
--- a/gateway/ingress/response.go
+++ b/gateway/ingress/response.go
@@ -36,7 +36,8 @@
 	q.mayHaveRun = true
 	q.finished = true
 	q.h.Health.RecordSuccess(s.ID)
-	q.h.Quarantine.RecordCompleted(q.fingerprint)
+	q.recordSound(q.lastAttempt())
+	q.h.Quarantine.RecordCompleted(&q.subject)
 }
 
 // writeHeader forwards the status and headers of a response whose body follows as
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -35,6 +35,10 @@
 			q.giveUp(w, ReasonDeadline, 0)
 			return
 		}
+		if q.h.Quarantine.ShouldRefuse(&q.subject) {
+			q.giveUp(w, ReasonCrashesServers, 0)
+			return
+		}
 		if reject := q.reauthorize(); reject != nil {
 			q.endRejected(w, reject)
 			return
@@ -121,9 +125,8 @@
 // attempt sends the request to the chosen server. It returns whether another
 // server may be tried.
 func (q *request) attempt(ctx context.Context, w http.ResponseWriter, s *catalog.Server, chosen choice) bool {
-	start := time.Now()
 	q.tried[s.ID] = true
-	q.rec.Attempts = append(q.rec.Attempts, Attempt{Server: s.ID, InFlight: chosen.InFlight, QueuedTokens: chosen.QueuedTokens, SharedTokens: q.sharedTokens(), MissingTokens: chosen.MissingTokens, Cause: chosen.cause})
+	q.rec.Attempts = append(q.rec.Attempts, Attempt{start: time.Now(), Server: s.ID, InFlight: chosen.InFlight, QueuedTokens: chosen.QueuedTokens, SharedTokens: q.sharedTokens(), MissingTokens: chosen.MissingTokens, Cause: chosen.cause})
 	a := q.lastAttempt()
 	q.loadEntry = q.h.Loads.Begin(s.Tag(), q.tokensToCompute(chosen.MissingTokens))
 	q.h.CacheIndex.MarkPending(q.call.SharedParts(), cacheindex.Holder(s.Tag()))
@@ -132,7 +135,7 @@
 	}
 	defer func() {
 		q.loadEntry.End()
-		a.Duration = time.Since(start)
+		a.Duration = time.Since(a.start)
 		if a.promptNotComputed() {
 			q.h.CacheIndex.MarkRefused(q.call.SharedParts(), cacheindex.Holder(s.Tag()))
 		}
@@ -218,7 +221,7 @@
 	// into backoff.
 	q.h.Health.RecordFailure(s.ID)
 	if failure != nil && failure.Lost {
-		q.h.Quarantine.RecordCrash(q.fingerprint)
+		q.recordCrash(s, a)
 	}
 	return q.route.Repeatable()
 }
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -40,7 +40,7 @@
 		if err != nil {
 			resp.Abort()
 			if ctx.Err() == nil && resp.Lost() {
-				q.h.Quarantine.RecordCrash(q.fingerprint)
+				q.recordCrash(s, a)
 			}
 			return q.handleBrokenBody(ctx, s, a, err)
 		}
@@ -72,6 +72,7 @@
 	if q.loadEntry.Computed() {
 		q.h.CacheIndex.MarkComputed(q.call.SharedParts(), cacheindex.Holder(s.Tag()))
 	}
+	q.recordEvents(q.lastAttempt())
 	if !q.headerWritten {
 		q.writeStreamHeader(w, resp)
 	}
--- a/gateway/peers/exchange.go
+++ b/gateway/peers/exchange.go
@@ -173,7 +173,7 @@
 		Hash:            hash,
 		AgeMS:           -1,
 		InFlight:        e.localInFlight(),
-		CrashCounts:     e.quarantine.Own(),
+		CrashNews:       e.quarantine.News(),
 		CacheUpdates:    e.cacheIndex.NextEntries(cacheindex.Recipients{Subset: large, NewPeer: e.table.hasNewPeer()}),
 		Relayed:         e.table.relayedPeers(),
 		RelayedInFlight: large,
@@ -216,6 +216,7 @@
 		e.setCounts(ip, &m)
 	}
 	e.cacheIndex.Merge(m.CacheUpdates, e.table.LargeFleet())
+	e.quarantine.Merge(&m.CrashNews)
 	e.syncCatalog(ctx, ip, h, &m)
 	if m.Reply {
 		e.write(e.table.target(ip), encode(e.message()))
@@ -226,7 +227,6 @@
 // those of the daemons that it relays if they are newer.
 func (e *Exchange) setCounts(ip string, m *Message) {
 	e.loads.SetPeer(ip, inFlightByServer(m.InFlight))
-	e.quarantine.Merge(ip, m.CrashCounts)
 	for i := range m.Relayed {
 		o := &m.Relayed[i]
 		if e.table.recordRelayed(o) && m.RelayedInFlight {
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -1,8 +1,7 @@
 // Package peers implements the gossip between the daemons of a fleet. Daemons
 // exchange UDP datagrams, which show that the sender is alive and contain its
 // revision of the published state, whether it is leaving, its in-flight requests
-// by backend server, updates on cache contents, and counts of requests that crash
-// backend servers. A daemon that receives a newer revision than its own fetches
+// by backend server, updates on cache contents, and what crashes backend servers. A daemon that receives a newer revision than its own fetches
 // the state from the sender over HTTP.
 //
 // Daemons discover each other from seed addresses. In a small fleet each daemon
@@ -66,7 +65,7 @@
 	Hash            uint64 // content hash of the published state
 	AgeMS           int64  // age of the sender's last confirmation; -1: none
 	InFlight        []InFlight
-	CrashCounts     []quarantine.Count
+	CrashNews       quarantine.News
 	CacheUpdates    []cacheindex.Entry
 	Relayed         []RelayedPeer // some of the daemons that the sender counts as alive
 	RelayedInFlight bool          // the relayed entries contain their in-flight requests
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -149,38 +149,38 @@
 }
 
 // A datagram that the network delivers after a later one must not bring back the
-// sender's earlier in-flight requests and crash counts, nor what it relayed then. Its
+// sender's earlier in-flight requests, nor what it relayed then, nor lift a ban. Its
 // cache updates are not repeated, so they are still used.
 func TestHandle_IgnoresCountsOfReorderedDatagram(t *testing.T) {
 	is := is.New(t)
 	ck := &fakeClock{now: boottime.Instant(10 * time.Second)}
 	e, _ := newExchange(ck)
 	const server, fingerprint = 5, 6
-	message := func(requests, crashes int) *Message {
+	message := func(requests int, bans ...quarantine.Ban) *Message {
 		inFlight := []InFlight{{Server: server, Requests: requests}}
 		return &Message{
 			InFlight:        inFlight,
-			CrashCounts:     []quarantine.Count{{Fingerprint: fingerprint, Crashes: crashes}},
+			CrashNews:       quarantine.News{Bans: bans},
 			CacheUpdates:    []cacheindex.Entry{{Part: cacheindex.PartKey(requests), Holder: server, AgeMS: 1}},
 			Relayed:         []RelayedPeer{{IP: "10.0.0.3", State: State{Leaving: requests == 1}, InFlight: inFlight}},
 			RelayedInFlight: true,
 		}
 	}
-	later := datagram(t, header{incarnation: 1, sentAt: 2}, message(1, 99))
-	earlier := datagram(t, header{incarnation: 1, sentAt: 1}, message(9, 0))
+	later := datagram(t, header{incarnation: 1, sentAt: 2}, message(1, quarantine.Ban{Fingerprint: fingerprint}))
+	earlier := datagram(t, header{incarnation: 1, sentAt: 1}, message(9))
 	e.handle(t.Context(), "10.0.0.2", later)
 	ck.now = ck.now.Add(time.Second)
 	e.handle(t.Context(), "10.0.0.2", earlier)
 	work := make([]load.Work, 1)
 	e.loads.InFlight([]uint32{server}, work)
 	is.Equal(work[0].Requests, 2) // one of the sender, one relayed
-	is.True(e.quarantine.ShouldRefuse(fingerprint))
+	is.True(e.quarantine.ShouldRefuse(&quarantine.Subject{Fingerprint: fingerprint}))
 	is.True(e.table.peers["10.0.0.3"].Leaving)
 	coverage := make([]cacheindex.Coverage, 1)
 	e.cacheIndex.Lookup([]call.Part{{ID: 9, Tokens: 10}}, []cacheindex.Holder{server}, coverage)
 	is.Equal(coverage[0].MissingTokens, 0)
 	// A restarted daemon has a clock of its own.
-	e.handle(t.Context(), "10.0.0.2", datagram(t, header{incarnation: 2, sentAt: 1}, message(3, 0)))
+	e.handle(t.Context(), "10.0.0.2", datagram(t, header{incarnation: 2, sentAt: 1}, message(3)))
 	e.loads.InFlight([]uint32{server}, work)
 	is.Equal(work[0].Requests, 6)
 }
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -1,10 +1,18 @@
-// Package quarantine finds requests that crash the backend servers that run
-// them, so that they can be refused. A request is identified by a fingerprint
-// of its content, so that a caller can't resend it under another ID. Daemons
-// send their counts to each other.
+// Package quarantine finds what crashes the backend servers that run it, so that it
+// can be refused: either one request, which a caller resends with the same content,
+// or a part that the prompts of many requests share.
+//
+// A crash also interrupts the sound requests on the server. They share the workspace
+// and other parts with the request that caused it, so crashes alone don't condemn a
+// part: it must have been at the start of a run in several crashes, one after the
+// other, of different servers and requests, without a run in which it did no harm.
+//
+// Daemons send each other what they have observed and relay what they have received,
+// so that neither the size of the fleet nor the restart of a daemon loses it.
 package quarantine
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -12,16 +20,38 @@
 )
 
 const (
-	// threshold is the number of crashes, counted by all daemons, from which
-	// a request is refused.
-	threshold = 3
-	// countTTL is how long the counts of a request are stored after their last
-	// change.
-	countTTL      = time.Minute
-	maxEntries    = 2048 // requests in a table
-	maxAdvertised = 16   // counts in each message to a peer
+	// requestThreshold is the number of crashes from which a request is refused.
+	requestThreshold = 3
+	// partThreshold is the number of successive crashes from which requests with a
+	// part are refused, if it is the last that they share. An earlier part, which
+	// more requests have, needs one more.
+	partThreshold = 3
+	// minOtherRequests is the number of these crashes that must remain if those
+	// with any one request are left out: that request may be the cause.
+	minOtherRequests = 2
+
+	// requestTTL and partTTL are how long a request, or requests with a part, are
+	// refused after the latest crash.
+	requestTTL = time.Minute
+	partTTL    = 5 * time.Minute
+	// crashTTL is how long a crash is remembered.
+	crashTTL = time.Minute
+
+	// relayDrift is more than the time by which an observation appears later with
+	// each daemon that relays it, since its age does not include the transit.
+	relayDrift = 200 * time.Millisecond
+
+	maxCrashes = 512 // in a table
+	maxBans    = 64  // in a table
+	maxSound   = 512 // in a table
 )
 
+// Subject is what a request can be recognised by.
+type Subject struct {
+	Fingerprint uint64   // of the request's content
+	Parts       []uint64 // IDs of the parts of the prompt that other requests may share
+}
+
 // Fingerprint returns a hash of a request's host, path, API key and body.
 func Fingerprint(host, path, key string, body []byte) uint64 {
 	h := xxhash.New()
@@ -34,141 +64,157 @@
 	return h.Sum64()
 }
 
-// Count is how often a request was running when the connection to its server
-// broke.
-type Count struct {
-	_           struct{} `cbor:",toarray"`
-	Fingerprint uint64
-	Crashes     int
+// Log records decisions of a Table.
+type Log interface {
+	// Quarantined is called when a ban takes effect. crashes is the number of
+	// crashes that it is based on, 0 if another daemon has sent it.
+	Quarantined(b Ban, crashes int)
+	// QuarantineLifted is called when a run has shown that a part does no harm, so
+	// that a ban no longer names it.
+	QuarantineLifted(part uint64)
 }
 
-// Table counts crashes by the fingerprint of the request. It is safe for
-// concurrent use.
+// Table decides which requests are refused. It is safe for concurrent use.
 type Table struct {
 	now func() time.Time
+	// Log may be nil. It must be set before use.
+	Log Log
 
 	mu      sync.Mutex
-	entries map[uint64]*entry
-}
-
-type entry struct {
-	own    int            // crashes counted by this daemon
-	peers  map[string]int // crashes counted by each peer
-	latest time.Time      // last change of a count
+	crashes map[uint64]*crash // by ID
+	bans    []*ban
+	sound   map[uint64]time.Time // latest run in which a part did no harm, for parts of crashes and bans
 }
 
-func (e *entry) total() int {
-	total := e.own
-	for _, n := range e.peers {
-		total += n
-	}
-	return total
+// ban is a Ban with the time of the latest crash that it explains.
+type ban struct {
+	Ban
+	at time.Time
 }
 
 // New returns an empty table.
 func New(now func() time.Time) *Table {
-	return &Table{now: now, entries: make(map[uint64]*entry)}
+	return &Table{now: now, crashes: make(map[uint64]*crash), sound: make(map[uint64]time.Time)}
 }
 
-// ShouldRefuse reports whether a request must not run again.
-func (t *Table) ShouldRefuse(fp uint64) bool {
+// ShouldRefuse reports whether a request must not run, or not run again.
+func (t *Table) ShouldRefuse(s *Subject) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e, ok := t.entries[fp]
-	return ok && t.now().Sub(e.latest) < countTTL && e.total() >= threshold
-}
-
-// RecordCrash counts a run of a request that ended when the connection to its
-// server broke.
-func (t *Table) RecordCrash(fp uint64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.find(fp)
-	e.own++
-	e.latest = t.now()
+	now := t.now()
+	return slices.ContainsFunc(t.bans, func(b *ban) bool { return b.active(now) && b.covers(s.Fingerprint, s.Parts) })
 }
 
-// RecordCompleted records that a request ran to its end. It clears the
-// request's counts, unless the request is refused already.
-func (t *Table) RecordCompleted(fp uint64) {
+// RecordSound records that a server has run a request to its end, or has been writing
+// the response for so long that the parts of the prompt do no harm.
+func (t *Table) RecordSound(s *Subject) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e, ok := t.entries[fp]; ok && e.total() < threshold {
-		delete(t.entries, fp)
+	if len(t.crashes) == 0 && len(t.bans) == 0 {
+		return
+	}
+	now := t.now()
+	for _, p := range s.Parts {
+		if t.suspected(p) {
+			t.setSound(p, now)
+		}
 	}
 }
 
-// Merge replaces a peer's counts of the given requests.
-func (t *Table) Merge(peer string, counts []Count) {
+// RecordCompleted records that a request ran to its end. It clears the crashes of the
+// request, unless the request is refused already.
+func (t *Table) RecordCompleted(s *Subject) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, c := range counts {
-		e := t.find(c.Fingerprint)
-		if e.peers[peer] == c.Crashes {
-			continue
-		}
-		if e.peers == nil {
-			e.peers = make(map[string]int)
+	for _, c := range t.crashes {
+		if c.Fingerprint == s.Fingerprint {
+			c.completedSince = true
 		}
-		e.peers[peer] = c.Crashes
-		e.latest = t.now()
 	}
 }
 
-// Own returns at most maxAdvertised of this daemon's counts that have not
-// expired.
-func (t *Table) Own() []Count {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.expire()
-	var counts []Count
-	for fp, e := range t.entries {
-		if e.own > 0 && len(counts) < maxAdvertised {
-			counts = append(counts, Count{Fingerprint: fp, Crashes: e.own})
+// suspected reports whether a part belongs to a crash or a ban. t.mu is held.
+func (t *Table) suspected(part uint64) bool {
+	for _, c := range t.crashes {
+		if slices.Contains(c.Parts, part) {
+			return true
 		}
 	}
-	return counts
+	return slices.ContainsFunc(t.bans, func(b *ban) bool { return slices.Contains(b.Parts, part) })
 }
 
-// find returns the entry of a fingerprint, and adds it if there is none. t.mu
-// is held.
-func (t *Table) find(fp uint64) *entry {
-	e, ok := t.entries[fp]
-	if !ok {
-		if len(t.entries) >= maxEntries {
-			t.evict()
-		}
-		e = &entry{latest: t.now()}
-		t.entries[fp] = e
+// setSound records that a part did no harm at the given time, and lifts the bans
+// that this disproves. t.mu is held.
+func (t *Table) setSound(part uint64, at time.Time) {
+	known, ok := t.sound[part]
+	if !ok && len(t.sound) >= maxSound || at.Sub(known) < relayDrift {
+		return
 	}
-	return e
+	t.sound[part] = at
+	t.bans = slices.DeleteFunc(t.bans, func(b *ban) bool {
+		if b.dropSound(t.sound) && t.Log != nil {
+			t.Log.QuarantineLifted(part)
+		}
+		return b.empty()
+	})
 }
 
-// evict makes room by removing the oldest of a few entries. Scanning all
-// entries for each new one would cost too much CPU time during a mass crash.
-// t.mu is held.
-func (t *Table) evict() {
-	const sample = 8
-	var oldest uint64
-	var at time.Time
-	seen := 0
-	for fp, e := range t.entries {
-		if seen == 0 || e.latest.Before(at) {
-			oldest, at = fp, e.latest
+// ban refuses requests from now on because of a crash at the given time, or extends
+// a ban that exists. A ban that later runs have disproved is not added. crashes is
+// the number of crashes that it is based on, for the log. t.mu is held.
+func (t *Table) ban(b Ban, at time.Time, crashes int) {
+	for _, old := range t.bans {
+		if !old.equal(&b) {
+			continue
 		}
-		if seen++; seen == sample {
-			break
+		if at.Sub(old.at) >= relayDrift {
+			old.at = at
 		}
+		return
+	}
+	added := &ban{Ban: Ban{Fingerprint: b.Fingerprint, Parts: slices.Clone(b.Parts)}, at: at}
+	added.dropSound(t.sound)
+	if added.empty() || !added.active(t.now()) {
+		return
+	}
+	if len(t.bans) >= maxBans {
+		t.bans = slices.Delete(t.bans, 0, 1)
+	}
+	t.bans = append(t.bans, added)
+	if t.Log != nil {
+		t.Log.Quarantined(added.Ban, crashes)
 	}
-	delete(t.entries, oldest)
 }
 
-// expire removes entries that have not changed for countTTL. t.mu is held.
+// expire removes what is too old to count. t.mu is held.
 func (t *Table) expire() {
 	now := t.now()
-	for fp, e := range t.entries {
-		if now.Sub(e.latest) >= countTTL {
-			delete(t.entries, fp)
+	for id, c := range t.crashes {
+		if now.Sub(c.at) >= crashTTL {
+			delete(t.crashes, id)
 		}
 	}
+	t.bans = slices.DeleteFunc(t.bans, func(b *ban) bool { return !b.active(now) })
+	for p, at := range t.sound {
+		if now.Sub(at) >= partTTL {
+			delete(t.sound, p)
+		}
+	}
+}
+
+// active reports whether the ban applies at the given time.
+func (b *ban) active(now time.Time) bool {
+	ttl := requestTTL
+	if len(b.Parts) > 0 {
+		ttl = partTTL
+	}
+	return now.Sub(b.at) < ttl
+}
+
+// dropSound removes the parts that did no harm after the latest crash, and reports
+// whether there were any.
+func (b *ban) dropSound(sound map[uint64]time.Time) bool {
+	n := len(b.Parts)
+	b.Parts = slices.DeleteFunc(b.Parts, func(p uint64) bool { return sound[p].After(b.at) })
+	return len(b.Parts) < n
 }
--- a/gateway/quarantine/quarantine_test.go
+++ b/gateway/quarantine/quarantine_test.go
@@ -7,35 +7,101 @@
 	"github.com/matryer/is"
 )
 
+// fleet is a number of daemons that share a clock.
+type fleet struct {
+	now     time.Time
+	daemons []*Table
+	servers uint32 // servers that have crashed so far
+}
+
+func newFleet(daemons int) *fleet {
+	f := &fleet{now: time.Unix(1_700_000_000, 0)}
+	for range daemons {
+		f.daemons = append(f.daemons, New(func() time.Time { return f.now }))
+	}
+	return f
+}
+
+// gossip sends the news of each daemon to all others.
+func (f *fleet) gossip() {
+	for _, from := range f.daemons {
+		news := from.News()
+		for _, to := range f.daemons {
+			to.Merge(&news)
+		}
+	}
+}
+
+// crash lets another server crash after each of the runs has been on it for a while.
+// The runs are of different daemons.
+func (f *fleet) crash(runs ...Run) {
+	f.servers++
+	sent := f.now
+	f.now = f.now.Add(100 * time.Millisecond)
+	for i, r := range runs {
+		r.Server, r.SentAt = f.servers, sent
+		f.daemons[(int(f.servers)+i)%len(f.daemons)].RecordCrash(&r)
+	}
+	f.now = f.now.Add(time.Second)
+	f.gossip()
+}
+
+// starting returns a run that has just begun, of a request with the parts.
+func starting(fingerprint uint64, parts ...uint64) Run {
+	return Run{Subject: Subject{Fingerprint: fingerprint, Parts: parts}, AtStart: true}
+}
+
+// refusing returns how many daemons refuse a new request with the parts.
+func (f *fleet) refusing(parts ...uint64) int {
+	n := 0
+	for _, d := range f.daemons {
+		if d.ShouldRefuse(&Subject{Fingerprint: 1 << 40, Parts: parts}) {
+			n++
+		}
+	}
+	return n
+}
+
+// Parts of the prompts in these tests. All requests share the first.
+const (
+	first = iota + 1
+	bad
+	sound
+	other
+)
+
 func TestShouldRefuse_SumsCrashesOfAllDaemons(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1_700_000_000, 0)
 	clock := func() time.Time { return now }
 	a, b := New(clock), New(clock)
-	fp := Fingerprint("h", "/p", "key", []byte("body"))
-	is.True(fp != Fingerprint("h", "/p", "key", []byte("other")))
-	a.RecordCrash(fp)
-	a.RecordCrash(fp)
-	is.True(!a.ShouldRefuse(fp))
-	b.Merge("a", a.Own())
-	b.Merge("a", a.Own()) // a repeated message counts once
-	is.True(!b.ShouldRefuse(fp))
-	b.RecordCrash(fp)
-	is.True(b.ShouldRefuse(fp))
-	b.RecordCompleted(fp) // a completed run doesn't clear a refused request
-	is.True(b.ShouldRefuse(fp))
-	now = now.Add(countTTL)
-	is.True(!b.ShouldRefuse(fp))
+	request := Subject{Fingerprint: Fingerprint("h", "/p", "key", []byte("body"))}
+	is.True(request.Fingerprint != Fingerprint("h", "/p", "key", []byte("other")))
+	a.RecordCrash(&Run{Subject: request})
+	a.RecordCrash(&Run{Subject: request})
+	is.True(!a.ShouldRefuse(&request))
+	for range 2 { // a repeated message counts once
+		news := a.News()
+		b.Merge(&news)
+	}
+	is.True(!b.ShouldRefuse(&request))
+	b.RecordCrash(&Run{Subject: request})
+	is.True(b.ShouldRefuse(&request))
+	b.RecordCompleted(&request) // a completed run doesn't clear a refused request
+	is.True(b.ShouldRefuse(&request))
+	now = now.Add(requestTTL)
+	is.True(!b.ShouldRefuse(&request))
 }
 
 func TestRecordCompleted_ClearsCounts(t *testing.T) {
 	is := is.New(t)
 	x := New(time.Now)
-	x.RecordCrash(1)
-	x.RecordCompleted(1)
-	x.RecordCrash(1)
-	x.RecordCrash(1)
-	is.True(!x.ShouldRefuse(1))
+	r := Run{Subject: Subject{Fingerprint: 1}}
+	x.RecordCrash(&r)
+	x.RecordCompleted(&r.Subject)
+	x.RecordCrash(&r)
+	x.RecordCrash(&r)
+	is.True(!x.ShouldRefuse(&r.Subject))
 }
 
 // Load pattern: many different requests are interrupted by a mass crash of
@@ -43,9 +109,165 @@
 func TestRecordCrash_LimitsTableSize(t *testing.T) {
 	is := is.New(t)
 	x := New(time.Now)
-	for fp := range uint64(3 * maxEntries) {
-		x.RecordCrash(fp)
+	for i := range uint64(3 * maxCrashes) {
+		r := starting(i, i)
+		x.RecordCrash(&r)
+		x.RecordSound(&r.Subject)
+	}
+	is.True(len(x.crashes) <= maxCrashes)
+	is.True(len(x.sound) <= maxSound)
+	news := x.News()
+	is.True(len(news.Crashes) <= maxSentCrashes)
+	is.True(len(news.Sound) <= maxSentSound)
+}
+
+// Guards against requests with different content that share a part which crashes each
+// server, and arrive at different daemons: each of them used to count as one crash.
+// Sound requests with the other parts are served.
+func TestShouldRefuse_PartThatCrashesServers(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(9)
+	for n := range uint64(partThreshold) {
+		is.Equal(f.refusing(first, bad), 0)
+		f.crash(starting(n, first, bad))
+		for _, d := range f.daemons {
+			d.RecordSound(&Subject{Parts: []uint64{first, sound}})
+		}
+	}
+	is.Equal(f.refusing(first, bad), 9)
+	is.Equal(f.refusing(first, bad, other), 9)
+	is.Equal(f.refusing(first, sound), 0)
+	is.Equal(f.refusing(first), 0)
+	f.now = f.now.Add(partTTL)
+	is.Equal(f.refusing(first, bad), 0)
+}
+
+// The first part may be the one that crashes servers; the sound requests share the
+// parts behind it. One that is always there is no proof against itself, but later
+// crashes without it are.
+func TestShouldRefuse_FirstPartThatCrashesServers(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3)
+	for n := range uint64(partThreshold + 1) {
+		is.Equal(f.refusing(bad, 100), 0)
+		f.crash(starting(n, bad, 100+n))
+	}
+	is.Equal(f.refusing(bad, 999), 3)
+	is.Equal(f.refusing(first, 100), 0)
+}
+
+// Guards against refusing sound requests that were on the crashed servers, too: in
+// the middle of their streams, or at the start of their runs.
+func TestShouldRefuse_SparesRequestsOnCrashedServers(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3)
+	streaming := starting(50, first, sound)
+	streaming.AtStart = false
+	for n := range uint64(2 * partThreshold) {
+		f.crash(streaming, starting(60+n, first, other+n), starting(n, first, bad))
+	}
+	is.Equal(f.refusing(first, bad), 3)
+	is.Equal(f.refusing(first, sound), 0)
+	is.Equal(f.refusing(first, other), 0)
+}
+
+// Guards against refusing a first part because the sound requests with it are known
+// to have been on crashed servers before the one that crashed them is.
+func TestShouldRefuse_SparesFirstPartWhateverTheOrderOfReports(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	for n := range uint64(partThreshold) {
+		f.crash(starting(60+n, first, other+n), starting(n, first, bad))
+		is.Equal(f.refusing(first, sound), 0)
+	}
+	is.Equal(f.refusing(first, bad), 1)
+}
+
+// Servers that fail at the same moment for another reason condemn no part, however
+// many requests with it were on them.
+func TestShouldRefuse_SparesPartsAfterMassCrash(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3)
+	sent := f.now
+	f.now = f.now.Add(time.Second)
+	for n := range uint64(20) {
+		r := starting(n, first, sound)
+		r.Server, r.SentAt = uint32(n), sent
+		f.daemons[n%3].RecordCrash(&r)
+	}
+	f.gossip()
+	is.Equal(f.refusing(first, sound), 0)
+}
+
+// A single request that crashes servers is refused by its content, not by the parts
+// that it shares with others, also if others were on the same servers.
+func TestShouldRefuse_SingleRequestDoesNotCondemnItsParts(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3)
+	for n := range uint64(requestThreshold) {
+		f.crash(starting(60+n, first, sound), starting(7, first, sound))
+	}
+	is.Equal(f.refusing(first, sound), 0)
+	is.True(f.daemons[0].ShouldRefuse(&Subject{Fingerprint: 7, Parts: []uint64{first, sound}}))
+}
+
+// A ban that was wrong ends as soon as a run that was in progress shows it, on all
+// daemons, and does not come back from one that has not heard of it yet.
+func TestRecordSound_LiftsBan(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3)
+	for n := range uint64(partThreshold) {
+		f.crash(starting(n, first, bad))
+	}
+	is.Equal(f.refusing(first, bad), 3)
+	outdated := f.daemons[2].News()
+	f.now = f.now.Add(time.Second)
+	f.daemons[0].RecordSound(&Subject{Parts: []uint64{first}})
+	f.gossip()
+	is.Equal(f.refusing(first, bad), 3) // the other part remains
+	is.Equal(f.refusing(bad), 3)
+	f.daemons[1].RecordSound(&Subject{Parts: []uint64{bad}})
+	f.gossip()
+	is.Equal(f.refusing(first, bad), 0)
+	f.daemons[1].Merge(&outdated)
+	is.Equal(f.refusing(first, bad), 0)
+}
+
+// Guards against counts that end with the process that made them: after the restart of
+// each daemon, one after the other, the fleet still refuses what crashes servers.
+func TestMerge_KnowledgeOutlivesRestarts(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4)
+	for n := range uint64(partThreshold) {
+		f.crash(starting(n, first, bad))
+	}
+	f.crash(starting(7))
+	f.crash(starting(7))
+	for i := range f.daemons {
+		f.daemons[i] = New(func() time.Time { return f.now })
+		f.now = f.now.Add(time.Second)
+		f.gossip()
+	}
+	is.Equal(f.refusing(first, bad), 4)
+	f.crash(starting(7))
+	is.True(f.daemons[0].ShouldRefuse(&Subject{Fingerprint: 7}))
+}
+
+// Guards against daemons of a large fleet that learn what another one has counted
+// only if they receive a datagram of it: what is relayed is enough.
+func TestMerge_RelaysThroughOtherDaemons(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(12)
+	for n := range uint64(partThreshold) {
+		r := starting(n, first, bad)
+		r.Server, r.SentAt = uint32(n), f.now
+		f.now = f.now.Add(200 * time.Millisecond)
+		f.daemons[0].RecordCrash(&r)
+	}
+	for i := range len(f.daemons) - 1 { // each daemon hears one other daemon only
+		f.now = f.now.Add(10 * time.Millisecond)
+		news := f.daemons[i].News()
+		f.daemons[i+1].Merge(&news)
 	}
-	is.True(len(x.entries) <= maxEntries)
-	is.True(len(x.Own()) <= maxAdvertised)
+	is.Equal(f.refusing(first, bad), 12)
 }
