ingress: a crash within a plain response counts against its request

What callers saw: nothing reported; found while reading where crashes are counted.

Cause: forwardStream counted a connection that broke within the body, forwardPlain did not; each had a copy of the check or lacked it.

Change: handleBrokenBody, which both use, counts it.

--- a/gateway/ingress/crash_test.go
+++ b/gateway/ingress/crash_test.go
@@ -58,15 +58,41 @@
 				is.Equal(resp.StatusCode, http.StatusOK)
 				is.True(strings.Contains(body, "data: b"))
 			}
-			down := 0
-			for _, b := range backends {
-				if b.stopped.Load() {
-					down++
-				}
-			}
+			down := stoppedBackends(backends)
 			t.Logf("%d servers crashed", down)
 			is.Equal(down, 3)
 			is.Equal(refused, requests-down)
 		})
 	}
 }
+
+// Guards against a request that crashes each server after the head of its response,
+// on a route without streams: these crashes did not count.
+func TestHandler_CountsCrashWithinPlainResponse(t *testing.T) {
+	is := is.New(t)
+	var backends []*backend
+	for range 9 {
+		backends = append(backends, startBackend(t, func(b *backend, req *http.Request, c net.Conn) {
+			b.stop()
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: x\r\nContent-Length: 9\r\n\r\nsta", req.Header.Get("Id"))
+			resetConn(b, req, c)
+		}))
+	}
+	f := newFixture(t, backends...)
+	for range 5 {
+		_, _, err := f.do(t, "/safe/x")
+		is.NoErr(err)
+	}
+	is.Equal(stoppedBackends(backends), 3)
+}
+
+// stoppedBackends returns how many backends have crashed.
+func stoppedBackends(backends []*backend) int {
+	n := 0
+	for _, b := range backends {
+		if b.stopped.Load() {
+			n++
+		}
+	}
+	return n
+}
--- a/gateway/ingress/plain.go
+++ b/gateway/ingress/plain.go
@@ -43,7 +43,7 @@
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
 	if err != nil {
 		resp.Abort()
-		return q.handleBrokenBody(ctx, s, a, err)
+		return q.handleBrokenBody(ctx, s, a, resp, err)
 	}
 	if len(body) > maxBufferedBytes {
 		return q.forwardLarge(ctx, w, s, a, resp, body)
@@ -88,7 +88,7 @@
 	}
 	if err != nil {
 		resp.Abort()
-		q.handleBrokenBody(ctx, s, a, err)
+		q.handleBrokenBody(ctx, s, a, resp, err)
 		return false // the header was sent, so run aborts the response
 	}
 	resp.Release()
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -243,12 +243,15 @@
 // handleBrokenBody handles a response whose body could not be read to its end,
 // which is the server's failure unless the request itself has ended. It returns
 // whether another server may be tried.
-func (q *request) handleBrokenBody(ctx context.Context, s *catalog.Server, a *Attempt, err error) bool {
+func (q *request) handleBrokenBody(ctx context.Context, s *catalog.Server, a *Attempt, resp *upstream.Response, err error) bool {
 	if ctx.Err() != nil {
 		a.Reason, a.Detail = interruptReason(ctx), err.Error()
 		q.mayHaveRun = true
 		return false
 	}
+	if resp.Lost() {
+		q.recordCrash(s, a)
+	}
 	return q.handleFailure(s, a, ReasonConnectionBroken, err.Error())
 }
 
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -39,10 +39,7 @@
 		}
 		if err != nil {
 			resp.Abort()
-			if ctx.Err() == nil && resp.Lost() {
-				q.recordCrash(s, a)
-			}
-			return q.handleBrokenBody(ctx, s, a, err)
+			return q.handleBrokenBody(ctx, s, a, resp, err)
 		}
 	}
 }
