ingress: a stream without a length that breaks off counts as broken and as a crash

Cause: a server that crashes in the middle of such a stream ends it, for HTTP, regularly. Inside an event this was a failure, but no crash, so the request or the part that caused it was never refused. Before the first event it was an empty stream, which the caller was told is complete.

Evidence: two new cases of the test of parts that crash servers failed before the change: all 12 servers crashed.

Change: both ends are a broken body, which counts as a crash if the connection ended.

--- a/gateway/ingress/crash_test.go
+++ b/gateway/ingress/crash_test.go
@@ -12,8 +12,9 @@
 
 // crashOn returns a script of a server that crashes when it begins to write the
 // response to a request with the given part in its prompt, and streams events to
-// all others. head is what it sends before it crashes.
-func crashOn(part, head string) func(*backend, *http.Request, net.Conn) {
+// all others. head is what it sends before it crashes, and end how its connections
+// end.
+func crashOn(part, head string, end func(*backend, *http.Request, net.Conn)) func(*backend, *http.Request, net.Conn) {
 	return func(b *backend, req *http.Request, c net.Conn) {
 		id := req.Header.Get("Id")
 		if !strings.Contains(","+req.Header.Get("Parts")+",", ","+part+",") {
@@ -23,26 +24,35 @@
 		}
 		b.stop()
 		fmt.Fprintf(c, head, id)
-		resetConn(b, req, c)
+		end(b, req, c)
 	}
 }
 
+func closeConn(_ *backend, _ *http.Request, c net.Conn) { c.Close() }
+
 // Guards against requests with different content, of which each crashes another
 // server because of a part that their prompts share. Requests with the same key and
 // their other parts are served.
 func TestHandler_RefusesRequestsWithPartThatCrashesServers(t *testing.T) {
-	for name, head := range map[string]string{
-		"before the response":       "",
-		"after the head":            "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: x\r\nTransfer-Encoding: chunked\r\n\r\n",
-		"within an event":           "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: x\r\nTransfer-Encoding: chunked\r\n\r\n8\r\nid: 1\nda\r\n",
-		"response without a length": "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: x\r\n\r\nid: 1\nda",
+	const ok = "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: x\r\n"
+	const chunked = ok + "Transfer-Encoding: chunked\r\n\r\n"
+	for name, c := range map[string]struct {
+		head string
+		end  func(*backend, *http.Request, net.Conn)
+	}{
+		"before the response":              {"", resetConn},
+		"after the head":                   {chunked, resetConn},
+		"within an event":                  {chunked + "8\r\nid: 1\nda\r\n", resetConn},
+		"without a length":                 {ok + "\r\nid: 1\nda", resetConn},
+		"without a length or a reset":      {ok + "\r\nid: 1\nda", closeConn},
+		"without a length, reset or event": {ok + "\r\n", closeConn},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			const servers, requests = 12, 30
 			var backends []*backend
 			for range servers {
-				backends = append(backends, startBackend(t, crashOn("66", head)))
+				backends = append(backends, startBackend(t, crashOn("66", c.head, c.end)))
 			}
 			f := newFixture(t, backends...)
 			refused := 0
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -35,7 +35,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return q.finishStream(w, s, a, resp, &events)
+			return q.finishStream(ctx, w, s, a, resp, &events)
 		}
 		if err != nil {
 			resp.Abort()
@@ -44,12 +44,23 @@
 	}
 }
 
-// finishStream handles the regular end of a server's stream, which may still lie
-// within an event. It returns whether another server may be tried.
-func (q *request) finishStream(w http.ResponseWriter, s *catalog.Server, a *Attempt, resp *upstream.Response, events *sse.Splitter) bool {
+// Causes of a broken stream whose end is regular for HTTP.
+var (
+	errEndWithinEvent   = errors.New("stream ended within an event")
+	errEndWithoutEvents = errors.New("connection ended before the first event")
+)
+
+// finishStream handles the regular end of the body of a server's stream, which may
+// still be broken off: a body without a length also ends if the server has crashed.
+// It returns whether another server may be tried.
+func (q *request) finishStream(ctx context.Context, w http.ResponseWriter, s *catalog.Server, a *Attempt, resp *upstream.Response, events *sse.Splitter) bool {
 	if len(events.Incomplete()) > 0 {
 		resp.Abort()
-		return q.handleFailure(s, a, ReasonConnectionBroken, "stream ended within an event")
+		return q.handleBrokenBody(ctx, s, a, resp, errEndWithinEvent)
+	}
+	if !resp.Framed && a.firstEvent.IsZero() {
+		resp.Abort()
+		return q.handleBrokenBody(ctx, s, a, resp, errEndWithoutEvents)
 	}
 	resp.Release()
 	q.recordAnswered(s)
