upstream: a refusal without a request ID is not believed

What callers saw (reported by another operator): 'not run, try again' for requests that a server had run or was running (REFUSED), or such a request ran at a second server (TWICE), because a faulty server wrote an earlier refusal once more on a kept connection.

Here: a repeated refusal with the ID of its own request was skipped. One without an ID was taken for the answer to the request in flight.

Change: a refusal must name the request. Without an ID the outcome is unknown and the connection is closed. Servers echo the ID in all their responses.

cassialatchd is not affected: it takes no response for a promise that a request has not run, and does not reuse connections for calls that may run only once.

--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -63,6 +63,11 @@
 	return fmt.Sprintf("upstream: response with invalid status %d", e.Status)
 }
 
+// ErrRefusalWithoutID is the cause of an Error if the server refuses a request
+// without naming it. The refusal may belong to an earlier request on the connection,
+// and this one may be running.
+var ErrRefusalWithoutID = errors.New("upstream: refusal without a request ID")
+
 // maxMismatched limits the responses to other requests that are skipped.
 const maxMismatched = 4
 
@@ -187,6 +192,9 @@
 			return err
 		}
 		head := r.pool.dialect.ParseResponse(resp)
+		if head.NotExecuted && head.RequestID == "" && req.ID != "" {
+			return ErrRefusalWithoutID
+		}
 		if head.RequestID == "" || head.RequestID == req.ID {
 			r.ResponseHead, r.Header, r.Body, r.resp = head, resp.Header, resp.Body, resp
 			r.Framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
