ingress: a success of another type does not continue a stream

Here: errors by status, with and without a signature, small and larger than the buffer, were handled: the stream is aborted. An error in the clothes of a success, a signed 200 whose body isn't a stream, was spliced into it.

Change: a response that is to continue a stream must have the media type that the stream has begun with; else the attempt has failed.

--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 
 	"cassialatch.dev/gateway/cacheindex"
 	"cassialatch.dev/gateway/catalog"
@@ -19,6 +20,10 @@
 // another server may be tried.
 func (q *request) forwardStream(ctx context.Context, w http.ResponseWriter, s *catalog.Server, a *Attempt, resp *upstream.Response) bool {
 	q.mayHaveRun = true
+	if q.headerWritten && mediaType(resp.Header) != mediaType(w.Header()) {
+		resp.Abort()
+		return q.handleFailure(s, a, ReasonServerError, "response of another type does not continue the stream")
+	}
 	var events sse.Splitter
 	buf := make([]byte, streamBufferBytes)
 	for {
@@ -44,6 +49,13 @@
 	}
 }
 
+// mediaType returns the media type of a body without its parameters; empty if the
+// header does not name it.
+func mediaType(h http.Header) string {
+	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // Causes of a broken stream whose end is regular for HTTP.
 var (
 	errEndWithinEvent   = errors.New("stream ended within an event")
