ingress: send nothing more to a server that says it is leaving

Cause: servers that leave were known from the store only, so during an outage of it, or while an entry is late, requests went to them until they ended.

Change: package avoid remembers the incarnation, from the head of the response on, also while its entry is away. It counts even if no other server is left: the request is rejected at once.

--- a/gateway/call/call.go
+++ b/gateway/call/call.go
@@ -58,6 +58,7 @@
 	RequestID   string        // ID of the request that the response belongs to; empty if not sent
 	Signed      bool          // the response carries the server's signature
 	NotExecuted bool          // the server did not run the request and never will
+	Leaving     bool          // the server is about to stop and must get no more requests
 	IdleTimeout time.Duration // idle time after which the server closes the connection; 0 if not sent
 }
 
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"syscall"
 	"time"
 
+	"cassialatch.dev/gateway/avoid"
 	"cassialatch.dev/gateway/boottime"
 	"cassialatch.dev/gateway/cacheindex"
 	"cassialatch.dev/gateway/cachescan"
@@ -84,6 +85,7 @@
 	scanner    *cachescan.Scanner
 	loads      *load.Table
 	health     *health.Table
+	avoid      *avoid.Table
 	pool       *upstream.Pool
 	quarantine *quarantine.Table
 	cacheIndex *cacheindex.Index
@@ -114,6 +116,7 @@
 		catalog:    c,
 		loads:      load.New(time.Now),
 		health:     health.New(time.Now),
+		avoid:      avoid.New(time.Now),
 		pool:       upstream.NewPool(a.Dialect),
 		quarantine: quarantine.New(time.Now),
 		cacheIndex: cacheindex.New(time.Now),
@@ -130,6 +133,7 @@
 		Pool:            d.pool,
 		Loads:           d.loads,
 		Health:          d.health,
+		Avoid:           d.avoid,
 		Budget:          retry.New(retry.Options(s.Retry), d.peers.FleetSize, time.Now),
 		Quarantine:      d.quarantine,
 		CacheIndex:      d.cacheIndex,
--- a/gateway/daemon/maintain.go
+++ b/gateway/daemon/maintain.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cassialatch.dev/gateway/cacheindex"
+	"cassialatch.dev/gateway/catalog"
 )
 
 // maintain removes expired cache entries, connections and health records, and
@@ -31,6 +32,7 @@
 		d.cacheIndex.Expire(func(h cacheindex.Holder) bool { return holders[h] })
 		d.pool.Expire(func(id string) bool { return listed[id] })
 		d.health.Expire()
+		d.avoid.Expire(func(s catalog.Incarnation) bool { return view.Servers[s] != nil })
 		if view.Table != nil {
 			for range d.frontend.CloseIdle(view.Table.Limits().IdleTimeout) {
 				d.metrics.Count("idle_connections_closed")
--- a/gateway/eventlog/log.go
+++ b/gateway/eventlog/log.go
@@ -87,6 +87,9 @@
 	if a.Status != 0 {
 		e.Int("status", a.Status)
 	}
+	if a.Leaving {
+		e.Bool("leaving", true)
+	}
 	if a.Reason != ingress.ReasonNone {
 		e.Str("reason", string(a.Reason))
 	}
--- a/gateway/ingress/choose.go
+++ b/gateway/ingress/choose.go
@@ -96,13 +96,13 @@
 	return sources
 }
 
-// candidates returns the servers that were not tried yet and are not in backoff;
-// if there are none, those in backoff.
+// candidates returns the servers that were not tried yet, want requests and are not in
+// backoff; if there are none, those in backoff.
 func (q *request) candidates(states []serverState, sources []placement.Source) []placement.Candidate {
 	var ready, backingOff []placement.Candidate
 	for i := range states {
 		s := &states[i]
-		if q.tried[s.ID] {
+		if q.tried[s.ID] || q.h.Avoid.Leaving(s.Incarnation()) {
 			continue
 		}
 		c := placement.Candidate{
--- a/gateway/ingress/handler.go
+++ b/gateway/ingress/handler.go
@@ -18,6 +18,7 @@
 	"net/http"
 	"time"
 
+	"cassialatch.dev/gateway/avoid"
 	"cassialatch.dev/gateway/cacheindex"
 	"cassialatch.dev/gateway/call"
 	"cassialatch.dev/gateway/catalog"
@@ -58,6 +59,7 @@
 	Pool       *upstream.Pool
 	Loads      *load.Table
 	Health     *health.Table
+	Avoid      *avoid.Table
 	Budget     *retry.Budget
 	Quarantine *quarantine.Table
 	CacheIndex *cacheindex.Index
--- a/gateway/ingress/ingress_test.go
+++ b/gateway/ingress/ingress_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/matryer/is"
 
+	"cassialatch.dev/gateway/avoid"
 	"cassialatch.dev/gateway/boottime"
 	"cassialatch.dev/gateway/cacheindex"
 	"cassialatch.dev/gateway/call"
@@ -68,6 +69,7 @@
 		RequestID:   resp.Header.Get("Id"),
 		Signed:      resp.Header.Get("Signature") != "",
 		NotExecuted: resp.Header.Get("Not-Executed") != "",
+		Leaving:     resp.Header.Get("Leaving") != "",
 		IdleTimeout: 30 * time.Second,
 	}
 }
@@ -214,6 +216,7 @@
 		Pool:            upstream.NewPool(dialect{}),
 		Loads:           load.New(time.Now),
 		Health:          health.New(time.Now),
+		Avoid:           avoid.New(time.Now),
 		Budget:          retry.New(retry.Options{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, func() int { return 1 }, time.Now),
 		Quarantine:      quarantine.New(time.Now),
 		CacheIndex:      cacheindex.New(time.Now),
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -66,6 +66,7 @@
 	Cause         placement.Cause
 	FetchedFrom   string // ID of the server to fetch missing tokens from; empty if there was none
 	Status        int
+	Leaving       bool // the server said that it is leaving
 	Reason        Reason
 	Detail        string // cause of a failure, for the log
 	Duration      time.Duration
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -152,6 +152,10 @@
 	}
 	defer resp.Abort() // does nothing unless forwarding panics
 	a.Status = resp.Status
+	if resp.Leaving {
+		a.Leaving = true
+		q.h.Avoid.RecordLeaving(s.Incarnation())
+	}
 	switch {
 	case resp.NotExecuted:
 		return q.handleRefusal(s, a, resp)
