ingress: a server that asks for a pause gets no requests until it is over

Cause: a refusal put the server into a backoff of 60 ms, after which it was asked again, and it was asked even then if no other server was left.

Change: package avoid remembers the end of the pause, for this incarnation of the server. If no other server is left, the request is rejected at once, and Retry-After tells the caller when the first pause ends.

--- a/gateway/call/call.go
+++ b/gateway/call/call.go
@@ -59,6 +59,7 @@
 	Signed      bool          // the response carries the server's signature
 	NotExecuted bool          // the server did not run the request and never will
 	Leaving     bool          // the server is about to stop and must get no more requests
+	Pause       time.Duration // how long the server wants no more requests from this daemon; 0 if not sent
 	IdleTimeout time.Duration // idle time after which the server closes the connection; 0 if not sent
 }
 
--- a/gateway/eventlog/log.go
+++ b/gateway/eventlog/log.go
@@ -90,6 +90,9 @@
 	if a.Leaving {
 		e.Bool("leaving", true)
 	}
+	if a.Pause > 0 {
+		e.Int64("pause_ms", a.Pause.Milliseconds())
+	}
 	if a.Reason != ingress.ReasonNone {
 		e.Str("reason", string(a.Reason))
 	}
--- a/gateway/ingress/choose.go
+++ b/gateway/ingress/choose.go
@@ -102,7 +102,7 @@
 	var ready, backingOff []placement.Candidate
 	for i := range states {
 		s := &states[i]
-		if q.tried[s.ID] || q.h.Avoid.Leaving(s.Incarnation()) {
+		if q.tried[s.ID] || q.avoided(s.Server) {
 			continue
 		}
 		c := placement.Candidate{
--- a/gateway/ingress/ingress_test.go
+++ b/gateway/ingress/ingress_test.go
@@ -64,11 +64,14 @@
 }
 
 func (dialect) ParseResponse(resp *http.Response) call.ResponseHead {
+	// The header is absent if the server does not ask for a pause.
+	pause, _ := time.ParseDuration(resp.Header.Get("Pause"))
 	return call.ResponseHead{
 		Status:      resp.StatusCode,
 		RequestID:   resp.Header.Get("Id"),
 		Signed:      resp.Header.Get("Signature") != "",
 		NotExecuted: resp.Header.Get("Not-Executed") != "",
+		Pause:       pause,
 		Leaving:     resp.Header.Get("Leaving") != "",
 		IdleTimeout: 30 * time.Second,
 	}
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -44,6 +44,7 @@
 	ReasonDraining         Reason = "daemon_draining"
 	ReasonStopped          Reason = "daemon_stopped" // the drain ended before the request did
 	ReasonNoServer         Reason = "no_server"
+	ReasonServersPaused    Reason = "servers_paused" // all servers left have asked for a pause
 	ReasonRetryBudget      Reason = "retry_budget_spent"
 	ReasonDeadline         Reason = "deadline"
 	ReasonNotSent          Reason = "not_sent"
@@ -66,7 +67,8 @@
 	Cause         placement.Cause
 	FetchedFrom   string // ID of the server to fetch missing tokens from; empty if there was none
 	Status        int
-	Leaving       bool // the server said that it is leaving
+	Leaving       bool          // the server said that it is leaving
+	Pause         time.Duration // how long the server said that it wants no more requests; 0 if it did not
 	Reason        Reason
 	Detail        string // cause of a failure, for the log
 	Duration      time.Duration
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -45,7 +45,7 @@
 		}
 		server, chosen := q.choose()
 		if server == nil {
-			q.giveUp(w, ReasonNoServer, noServerRetryAfter)
+			q.giveUpWithoutServer(w)
 			return
 		}
 		if q.sent() && !q.h.Budget.Allow(q.service.Name) {
@@ -152,10 +152,7 @@
 	}
 	defer resp.Abort() // does nothing unless forwarding panics
 	a.Status = resp.Status
-	if resp.Leaving {
-		a.Leaving = true
-		q.h.Avoid.RecordLeaving(s.Incarnation())
-	}
+	q.recordAvoid(s, a, resp)
 	switch {
 	case resp.NotExecuted:
 		return q.handleRefusal(s, a, resp)
