ingress: a server that only loses responses condemns no part

Cause: a broken connection was taken for a crash of its server.

Evidence: the new test failed before the change: after three lost responses, requests with the same part got 503.

Change: after a connection to a server breaks at the start of a run with a prompt, the daemon opens a new one, for at most 50 ms, which is kept for the next request. If the server accepts it, the run counts against its request as before, but its parts are not suspected. If not, the server goes into backoff at once, instead of at the next request that is sent there.

--- a/gateway/ingress/crash.go
+++ b/gateway/ingress/crash.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"time"
 
 	"cassialatch.dev/gateway/cacheindex"
@@ -12,9 +13,9 @@
 // crash its server: those that do crash it when it begins to write the response.
 const soundAfter = 500 * time.Millisecond
 
-// recordCrash records that the connection to the server broke while it ran the
+// recordBroken records that the connection to the server broke while it ran the
 // request.
-func (q *request) recordCrash(s *catalog.Server, a *Attempt) {
+func (q *request) recordBroken(ctx context.Context, s *catalog.Server, a *Attempt) {
 	q.rec.CrashParts = nil
 	for _, p := range q.call.SharedParts() {
 		q.rec.CrashParts = append(q.rec.CrashParts, cacheindex.KeyOf(p))
@@ -23,11 +24,25 @@
 		Subject: q.subject,
 		Server:  s.Tag(),
 		SentAt:  a.start,
-		AtStart: !a.sound && !a.answering(),
+		AtStart: q.crashedAtStart(ctx, s, a),
 	})
 	q.h.TriggerExchange()
 }
 
+// crashedAtStart reports whether the server has crashed before, or soon after, it
+// began to write the response to a request with a prompt. A server that only lost the
+// response still accepts connections.
+func (q *request) crashedAtStart(ctx context.Context, s *catalog.Server, a *Attempt) bool {
+	if a.sound || a.answering() || len(q.subject.Parts) == 0 {
+		return false
+	}
+	if q.h.Pool.Reachable(ctx, s, q.maxConns()) {
+		return false
+	}
+	q.h.Health.RecordUnreachable(s.ID)
+	return true
+}
+
 // answering reports whether the server has been writing the response for soundAfter.
 func (a *Attempt) answering() bool {
 	return !a.firstEvent.IsZero() && time.Since(a.firstEvent) >= soundAfter
--- a/gateway/ingress/crash_test.go
+++ b/gateway/ingress/crash_test.go
@@ -106,3 +106,21 @@
 	}
 	return n
 }
+
+// Guards against refusing sound requests because servers lose their responses, or
+// break them off, and go on.
+func TestHandler_LostResponsesCondemnNoPart(t *testing.T) {
+	is := is.New(t)
+	var backends []*backend
+	for range 6 {
+		backends = append(backends, startBackend(t, resetConn))
+	}
+	f := newFixture(t, backends...)
+	const requests = 12
+	for n := range requests {
+		id := fmt.Sprint("lost", n)
+		resp, _, err := f.do(t, "/once/"+id, "Id", id, "Parts", fmt.Sprintf("1,66,%d", 100+n))
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusBadGateway) // sent, not refused
+	}
+}
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -185,10 +185,6 @@
 	if q.ws != nil {
 		attempt.Workspace = q.ws.Name
 	}
-	maxConns := 0
-	if q.service.MaxConns > 0 {
-		maxConns = max(q.service.MaxConns/max(q.h.FleetSize(), 1), 2)
-	}
 	return &upstream.Request{
 		ID:       q.call.ID,
 		Method:   q.method,
@@ -196,8 +192,17 @@
 		Host:     q.host,
 		Header:   q.h.Dialect.OutboundHeader(q.header, attempt),
 		Body:     q.body,
-		MaxConns: maxConns,
+		MaxConns: q.maxConns(),
+	}
+}
+
+// maxConns returns how many connections this daemon may have to one server; 0: no
+// limit.
+func (q *request) maxConns() int {
+	if q.service.MaxConns <= 0 {
+		return 0
 	}
+	return max(q.service.MaxConns/max(q.h.FleetSize(), 1), 2)
 }
 
 // handleSendError handles an attempt that received no response. It returns
@@ -218,11 +223,9 @@
 		a.Reason = interruptReason(ctx)
 		return false
 	}
-	// If the server has crashed, it refuses the next connection and is then put
-	// into backoff.
 	q.h.Health.RecordFailure(s.ID)
 	if failure != nil && failure.Lost {
-		q.recordCrash(s, a)
+		q.recordBroken(ctx, s, a)
 	}
 	return q.route.Repeatable()
 }
@@ -251,7 +254,7 @@
 		return false
 	}
 	if resp.Lost() {
-		q.recordCrash(s, a)
+		q.recordBroken(ctx, s, a)
 	}
 	return q.handleFailure(s, a, ReasonConnectionBroken, err.Error())
 }
--- a/gateway/quarantine/crash.go
+++ b/gateway/quarantine/crash.go
@@ -11,7 +11,8 @@
 	Subject
 	Server uint32    // tag of the server's incarnation
 	SentAt time.Time // when the request was sent
-	// AtStart is set if the server had not begun to write the response, or only just.
+	// AtStart is set if the server is known to have crashed, and had not begun to
+	// write the response, or only just. Only then its parts are suspected.
 	AtStart bool
 }
 
@@ -30,7 +31,11 @@
 func (t *Table) RecordCrash(r *Run) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.add(rand.Uint64(), &crash{Run: *r, at: t.now()})
+	c := &crash{Run: *r, at: t.now()}
+	if !c.AtStart {
+		c.Parts = nil
+	}
+	t.add(rand.Uint64(), c)
 }
 
 // add adds a crash that the table doesn't have, and decides on what has caused it.
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -59,6 +59,11 @@
 	if c := p.takeIdle(s.ID); c != nil {
 		return c, nil
 	}
+	return p.open(ctx, s, maxConns)
+}
+
+// open opens a connection.
+func (p *Pool) open(ctx context.Context, s *catalog.Server, maxConns int) (*conn, error) {
 	if !p.reserveSlot(s.ID, maxConns) {
 		return nil, ErrTooManyConns
 	}
@@ -73,6 +78,23 @@
 	return c, nil
 }
 
+// reachableTimeout limits how long Reachable waits for a connection.
+const reachableTimeout = 50 * time.Millisecond
+
+// Reachable reports whether the server accepts connections. A new one is kept for the
+// next request. A server that has just crashed refuses connections; one that has only
+// broken off a response accepts them.
+func (p *Pool) Reachable(ctx context.Context, s *catalog.Server, maxConns int) bool {
+	ctx, cancel := context.WithTimeout(ctx, reachableTimeout)
+	defer cancel()
+	c, err := p.open(ctx, s, maxConns)
+	if err != nil {
+		return false
+	}
+	p.put(s.ID, c, 0)
+	return true
+}
+
 // takeIdle removes the most recently used idle connection that is still usable
 // from the pool and closes those that are not. It returns nil if there is none.
 func (p *Pool) takeIdle(id string) *conn {
