peers: a freeze while a message is composed makes no confirmation fresher

What callers saw: nothing yet; found by asking what a final refusal (401, 404) and the lease on API keys rely on: the time at which the configuration was last confirmed.

Cause: a daemon dates a peer's confirmation by the echo of its own timestamp, less the age that the peer states. The peer determined the age first and took the echo after it had encoded the message. If it froze in between, woke and handled a datagram before it sent, the echo was newer than the age by as long as the freeze. The recipient then took a state that was that much older for a fresh one: it could refuse by a configuration that was no longer in force, and accept an API key that was revoked.

Change: the targets, with their echoes, are selected before the age is determined. Replies did so already, by the order in which arguments are evaluated; they now say so.

--- a/gateway/peers/exchange.go
+++ b/gateway/peers/exchange.go
@@ -136,15 +136,26 @@
 }
 
 // send starts a gossip round: it sends this daemon's message to the targets.
+//
+// The targets are selected before the message is composed: the recipient takes the
+// echo for a time before the age of the confirmation was determined, and the VM may
+// be suspended between the two.
 func (e *Exchange) send() {
+	targets := e.table.targets()
 	m := e.message()
 	m.Reply = e.table.LargeFleet() || e.table.Isolated()
 	body := encode(m)
-	for _, to := range e.table.targets() {
+	for _, to := range targets {
 		e.write(to, body)
 	}
 }
 
+// reply sends this daemon's message to the peer that asked for it.
+func (e *Exchange) reply(ip string) {
+	to := e.table.target(ip) // before the message, as in send
+	e.write(to, encode(e.message()))
+}
+
 // encode returns the CBOR encoding of a message.
 func encode(m *Message) []byte {
 	body, err := cbor.Marshal(m)
@@ -219,7 +230,7 @@
 	e.quarantine.Merge(&m.CrashNews)
 	e.syncCatalog(ctx, ip, h, &m)
 	if m.Reply {
-		e.write(e.table.target(ip), encode(e.message()))
+		e.reply(ip)
 	}
 }
 
