ingress: a key that has moved to another workspace is not refused

What callers saw: nothing reported; found by going through each final refusal of the handler. A request that waited for a server, or was refused by one, while a new version gave its key to another workspace got 401, after which a caller doesn't come back, though its key is in force in both versions.

Cause: reauthorize, just before each send, treated a key of another workspace like one that has been taken away.

Evidence: the new test, a key that moves between two attempts, failed before the change: 401.

Change: 503 with Retry-After, reason workspace_changed; the request comes back and runs for the workspace that has the key now.

--- a/gateway/ingress/admit.go
+++ b/gateway/ingress/admit.go
@@ -119,8 +119,11 @@
 	}
 	age, _ := q.h.Catalog.Age() // before the view, as in admit
 	ws := q.h.Catalog.View().Table.Workspace(q.call.Key)
-	if ws == nil || ws.Name != q.ws.Name {
+	switch {
+	case ws == nil:
 		return q.h.refuseByConfig(age, http.StatusUnauthorized, ReasonUnknownKey)
+	case ws.Name != q.ws.Name:
+		return notRun(ReasonWorkspaceChanged, workspaceRetryAfter)
 	}
 	return nil
 }
--- a/gateway/ingress/config_refusal_test.go
+++ b/gateway/ingress/config_refusal_test.go
@@ -1,11 +1,14 @@
 package ingress
 
 import (
+	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"cassialatch.dev/gateway/route"
 )
 
 // Guards against a final refusal by a configuration that may be outdated: a caller
@@ -44,3 +47,23 @@
 		})
 	}
 }
+
+// Guards against a final refusal of a key that is valid: it was given to another
+// workspace while the request was waiting for a server.
+func TestHandler_KeyMovedToAnotherWorkspace(t *testing.T) {
+	is := is.New(t)
+	var f *fixture
+	moveKey := func(b *backend, req *http.Request, conn net.Conn) {
+		moved := &route.Config{Version: 2, Workspaces: []route.Workspace{{Name: "other", Keys: []string{"key"}}}}
+		state := f.catalog.State()
+		state.Revision++
+		f.catalog.Adopt(state, route.NewTable(moved), f.now())
+		refuseRequest(b, req, conn)
+	}
+	f = newFixture(t, startBackend(t, moveKey), startBackend(t, moveKey))
+	resp, _, err := f.do(t, "/safe/x")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.True(resp.Header.Get("Retry-After") != "")
+	is.Equal(f.records.wait(1)[0].Reason, ReasonWorkspaceChanged)
+}
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -36,6 +36,7 @@
 	ReasonConfigStale      Reason = "configuration_stale" // the request is not permitted, but by a configuration that may be outdated
 	ReasonKeyLeaseExpired  Reason = "configuration_not_confirmed"
 	ReasonUnknownKey       Reason = "unknown_key"
+	ReasonWorkspaceChanged Reason = "workspace_changed" // the key was given to another workspace since the request was admitted
 	ReasonBodyTooLarge     Reason = "body_too_large"
 	ReasonBodyUnreadable   Reason = "body_broken"
 	ReasonBodyTimeout      Reason = "body_timeout" // the deadline came before the whole body
--- a/gateway/ingress/rejection.go
+++ b/gateway/ingress/rejection.go
@@ -20,6 +20,8 @@
 	noServerRetryAfter = 200 * time.Millisecond
 	overloadRetryAfter = 100 * time.Millisecond
 	drainRetryAfter    = 20 * time.Millisecond // other daemons accept requests immediately
+
+	workspaceRetryAfter = 20 * time.Millisecond // the configuration in force has the key
 )
 
 // refuse returns a rejection of a request that is invalid or not permitted.
