quarantine: a run that did well counts however soon after another one

What callers saw: nothing reported; a test of servers that lose most of their responses refused sound requests.

Cause: of runs that did well within 200 ms only the first was recorded. That limit is meant for relayed news, whose age grows by the transit with each daemon, but applied to the daemon's own runs, too. Crashes in the 200 ms after a recorded run counted as successive although runs with the part had done well in between.

Evidence: the new test, crashes and sound runs in turn every 10 ms, failed before the change: a part was banned after three crashes.

Change: the limit applies to what other daemons send.

--- a/gateway/quarantine/gossip.go
+++ b/gateway/quarantine/gossip.go
@@ -118,7 +118,7 @@
 	now := t.now()
 	ago := func(ms int64) time.Time { return now.Add(-time.Duration(max(ms, 0)) * time.Millisecond) }
 	for _, s := range n.Sound {
-		t.setSound(s.Part, ago(s.AgeMS))
+		t.setSound(s.Part, ago(s.AgeMS), relayDrift)
 	}
 	for _, b := range n.Bans {
 		t.ban(b, ago(b.AgeMS), 0)
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -116,7 +116,7 @@
 	now := t.now()
 	for _, p := range s.Parts {
 		if t.suspected(p) {
-			t.setSound(p, now)
+			t.setSound(p, now, 0)
 		}
 	}
 }
@@ -143,11 +143,12 @@
 	return slices.ContainsFunc(t.bans, func(b *ban) bool { return slices.Contains(b.Parts, part) })
 }
 
-// setSound records that a part did no harm at the given time, and lifts the bans
-// that this disproves. t.mu is held.
-func (t *Table) setSound(part uint64, at time.Time) {
+// setSound records that a part did no harm at the given time, unless that is known of
+// a time that is less than minLater earlier, and lifts the bans that this disproves.
+// t.mu is held.
+func (t *Table) setSound(part uint64, at time.Time, minLater time.Duration) {
 	known, ok := t.sound[part]
-	if !ok && len(t.sound) >= maxSound || at.Sub(known) < relayDrift {
+	if !ok && len(t.sound) >= maxSound || at.Sub(known) < minLater {
 		return
 	}
 	t.sound[part] = at
--- a/gateway/quarantine/quarantine_test.go
+++ b/gateway/quarantine/quarantine_test.go
@@ -233,6 +233,24 @@
 	is.Equal(f.refusing(first, bad), 0)
 }
 
+// Guards against refusing sound requests in quick succession: a run that did well soon
+// after another one did not count.
+func TestRecordSound_CountsSoonAfterAnother(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	d := f.daemons[0]
+	pass := func() { f.now = f.now.Add(10 * time.Millisecond) }
+	for n := range uint64(3 * partThreshold) {
+		r := starting(n, first, sound)
+		r.Server, r.SentAt = uint32(n), f.now
+		pass()
+		d.RecordCrash(&r)
+		pass()
+		d.RecordSound(&r.Subject)
+		is.Equal(f.refusing(first, sound), 0)
+	}
+}
+
 // Guards against counts that end with the process that made them: after the restart of
 // each daemon, one after the other, the fleet still refuses what crashes servers.
 func TestMerge_KnowledgeOutlivesRestarts(t *testing.T) {
