quarantine: refuse a part that breaks each run though the servers still listen

What callers saw: nothing reported; found by asking where the same cause could act. A part that breaks each run, where the server goes on accepting connections because only a worker of it has crashed or it is back at once, was never refused: in a trial of 60 such requests on 6 servers all 60 reached one.

Cause: since servers that only lose responses must not condemn a part, only servers that accept no connection any more counted.

Change: a run also counts if its server still listens, but it takes five of them instead of three (six, if the part isn't the last shared one), of different requests, on two servers or more, one after the other, without a run in which the part did no harm. What else ran on a server that still listens is not explained by a ban.

--- a/gateway/ingress/crash.go
+++ b/gateway/ingress/crash.go
@@ -20,22 +20,26 @@
 	for _, p := range q.call.SharedParts() {
 		q.rec.CrashParts = append(q.rec.CrashParts, cacheindex.KeyOf(p))
 	}
+	atStart := q.brokeAtStart(a)
 	q.h.Quarantine.RecordCrash(&quarantine.Run{
-		Subject: q.subject,
-		Server:  s.Tag(),
-		SentAt:  a.start,
-		AtStart: q.crashedAtStart(ctx, s, a),
+		Subject:    q.subject,
+		Server:     s.Tag(),
+		SentAt:     a.start,
+		AtStart:    atStart,
+		ServerDown: atStart && q.serverDown(ctx, s),
 	})
 	q.h.TriggerExchange()
 }
 
-// crashedAtStart reports whether the server has crashed before, or soon after, it
-// began to write the response to a request with a prompt. A server that only lost the
-// response still accepts connections.
-func (q *request) crashedAtStart(ctx context.Context, s *catalog.Server, a *Attempt) bool {
-	if a.sound || a.answering() || len(q.subject.Parts) == 0 {
-		return false
-	}
+// brokeAtStart reports whether the connection broke before, or soon after, the server
+// began to write the response to a request with a prompt.
+func (q *request) brokeAtStart(a *Attempt) bool {
+	return !a.sound && !a.answering() && len(q.subject.Parts) > 0
+}
+
+// serverDown reports whether the server accepts no connections any more. One that only
+// lost the response still does.
+func (q *request) serverDown(ctx context.Context, s *catalog.Server) bool {
 	if q.h.Pool.Reachable(ctx, s, q.maxConns()) {
 		return false
 	}
--- a/gateway/quarantine/crash.go
+++ b/gateway/quarantine/crash.go
@@ -11,9 +11,12 @@
 	Subject
 	Server uint32    // tag of the server's incarnation
 	SentAt time.Time // when the request was sent
-	// AtStart is set if the server is known to have crashed, and had not begun to
-	// write the response, or only just. Only then its parts are suspected.
+	// AtStart is set if the server had not begun to write the response, or only just.
+	// Only then its parts are suspected.
 	AtStart bool
+	// ServerDown is set if the server accepts no connections any more. Otherwise it
+	// may have lost the response and gone on, or only a part of it has crashed.
+	ServerDown bool
 }
 
 // crash is a run that was interrupted by a crash, as observed by some daemon.
@@ -50,42 +53,52 @@
 			b.at = c.at
 		}
 	}
-	explained := t.explained()
-	if explained[c.Server] {
+	unexplained := t.unexplained()
+	if !slices.Contains(unexplained, c) {
 		return
 	}
 	if c.AtStart {
-		t.judgeParts(c, explained)
-		explained = t.explained()
+		t.judgeParts(c, unexplained)
+		unexplained = t.unexplained()
 	}
-	if !explained[c.Server] {
-		t.judgeRequest(c, explained)
+	if slices.Contains(unexplained, c) {
+		t.judgeRequest(c, unexplained)
 	}
 }
 
-// explained returns the servers whose crash is explained by a part that is banned:
-// what else was running there is not suspected. t.mu is held.
-func (t *Table) explained() map[uint32]bool {
-	servers := make(map[uint32]bool)
+// unexplained returns the crashes that are not explained by a part that is banned, by
+// time. If a server went down because of such a part, what else was running there is
+// not suspected either. t.mu is held.
+func (t *Table) unexplained() []*crash {
+	covered := make(map[*crash]bool)
+	down := make(map[uint32]bool)
 	for _, b := range t.bans {
 		if len(b.Parts) == 0 {
 			continue
 		}
 		for _, c := range t.crashes {
 			if b.covers(c.Fingerprint, c.Parts) {
-				servers[c.Server] = true
+				covered[c] = true
+				down[c.Server] = down[c.Server] || c.ServerDown
 			}
 		}
 	}
-	return servers
+	var rest []*crash
+	for _, c := range t.crashes {
+		if !covered[c] && !down[c.Server] {
+			rest = append(rest, c)
+		}
+	}
+	slices.SortFunc(rest, func(a, b *crash) int { return a.at.Compare(b.at) })
+	return rest
 }
 
 // judgeRequest bans the request of a crash if it has crashed often enough. t.mu is
 // held.
-func (t *Table) judgeRequest(latest *crash, explained map[uint32]bool) {
+func (t *Table) judgeRequest(latest *crash, unexplained []*crash) {
 	n := 0
-	for _, c := range t.crashes {
-		if c.Fingerprint == latest.Fingerprint && !c.completedSince && !explained[c.Server] {
+	for _, c := range unexplained {
+		if c.Fingerprint == latest.Fingerprint && !c.completedSince {
 			n++
 		}
 	}
@@ -97,40 +110,72 @@
 // judgeParts bans the most specific part of a crash that explains enough crashes:
 // the last, since fewer requests have it. Parts that were present in all of these are
 // banned together: only requests with all of them are refused. t.mu is held.
-func (t *Table) judgeParts(latest *crash, explained map[uint32]bool) {
-	threshold := partThreshold
+func (t *Table) judgeParts(latest *crash, unexplained []*crash) {
+	more := 0 // crashes beyond the thresholds
 	for _, p := range slices.Backward(latest.Parts) {
-		s := t.successiveCrashes(p, explained)
-		if len(s) >= threshold && t.otherRequests(s) >= minOtherRequests {
+		if s := t.evidence(p, unexplained, more); s != nil {
 			t.ban(Ban{Parts: t.commonParts(s)}, latest.at, len(s))
 			return
 		}
-		threshold = partThreshold + 1
+		more = 1
 	}
 }
 
-// successiveCrashes returns crashes of different servers at the start of a run with
-// the part, since the part last did no harm. Each run began after the crash before:
-// servers that fail together count once. t.mu is held.
-func (t *Table) successiveCrashes(part uint64, explained map[uint32]bool) []*crash {
-	var all []*crash
-	for _, c := range t.crashes {
-		if c.AtStart && !explained[c.Server] && c.at.After(t.sound[part]) && slices.Contains(c.Parts, part) {
-			all = append(all, c)
+// evidence returns the crashes which show that a part crashes servers; nil if there
+// are too few. t.mu is held.
+func (t *Table) evidence(part uint64, unexplained []*crash, more int) []*crash {
+	var suspects []*crash
+	for _, c := range unexplained {
+		if c.AtStart && c.at.After(t.sound[part]) && slices.Contains(c.Parts, part) {
+			suspects = append(suspects, c)
+		}
+	}
+	down := successive(serversDown(suspects), func(a, b *crash) bool { return a.Server != b.Server })
+	if len(down) >= partThreshold+more && t.otherRequests(down) >= minOtherRequests {
+		return down
+	}
+	lost := successive(suspects, func(a, b *crash) bool { return a.Fingerprint != b.Fingerprint })
+	if len(lost) >= lostThreshold+more && numServers(lost) >= minLostServers {
+		return lost
+	}
+	return nil
+}
+
+// serversDown returns the crashes after which the server accepted no connections.
+func serversDown(crashes []*crash) []*crash {
+	var list []*crash
+	for _, c := range crashes {
+		if c.ServerDown {
+			list = append(list, c)
 		}
 	}
-	slices.SortFunc(all, func(a, b *crash) int { return a.at.Compare(b.at) })
-	var successive []*crash
+	return list
+}
+
+// successive returns those of the crashes, which are sorted by time, whose run began
+// after the crash before: what fails together counts once. A crash counts only if it
+// is distinct from all earlier ones that count.
+func successive(crashes []*crash, distinct func(a, b *crash) bool) []*crash {
+	var list []*crash
 	var end time.Time
-	for _, c := range all {
-		sameServer := slices.ContainsFunc(successive, func(o *crash) bool { return o.Server == c.Server })
-		if sameServer || c.SentAt.Before(end.Add(-clockSlack)) {
+	for _, c := range crashes {
+		repeated := slices.ContainsFunc(list, func(o *crash) bool { return !distinct(o, c) })
+		if repeated || c.SentAt.Before(end.Add(-clockSlack)) {
 			continue
 		}
-		successive = append(successive, c)
+		list = append(list, c)
 		end = c.at
 	}
-	return successive
+	return list
+}
+
+// numServers returns the number of servers of the crashes.
+func numServers(crashes []*crash) int {
+	servers := make(map[uint32]bool)
+	for _, c := range crashes {
+		servers[c.Server] = true
+	}
+	return len(servers)
 }
 
 // otherRequests returns how many of the crashes of these servers remain if the
--- a/gateway/quarantine/gossip.go
+++ b/gateway/quarantine/gossip.go
@@ -35,6 +35,7 @@
 	Fingerprint uint64   // of the request
 	Parts       []uint64
 	AtStart     bool
+	ServerDown  bool
 	RanMS       int64 // from the sending of the request to the crash
 	AgeMS       int64 // of the crash
 }
@@ -82,7 +83,7 @@
 	for id, c := range t.crashes {
 		if age := now.Sub(c.at); age < relayTime {
 			n.Crashes = append(n.Crashes, Crash{
-				ID: id, Server: c.Server, Fingerprint: c.Fingerprint, Parts: c.Parts, AtStart: c.AtStart,
+				ID: id, Server: c.Server, Fingerprint: c.Fingerprint, Parts: c.Parts, AtStart: c.AtStart, ServerDown: c.ServerDown,
 				RanMS: c.at.Sub(c.SentAt).Milliseconds(), AgeMS: age.Milliseconds(),
 			})
 		}
@@ -133,10 +134,11 @@
 		}
 		t.add(c.ID, &crash{
 			Run: Run{
-				Subject: Subject{Fingerprint: c.Fingerprint, Parts: c.Parts},
-				Server:  c.Server,
-				SentAt:  at.Add(-time.Duration(c.RanMS) * time.Millisecond),
-				AtStart: c.AtStart,
+				Subject:    Subject{Fingerprint: c.Fingerprint, Parts: c.Parts},
+				Server:     c.Server,
+				SentAt:     at.Add(-time.Duration(c.RanMS) * time.Millisecond),
+				AtStart:    c.AtStart,
+				ServerDown: c.ServerDown,
 			},
 			at: at,
 		})
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -6,6 +6,7 @@
 // and other parts with the request that caused it, so crashes alone don't condemn a
 // part: it must have been at the start of a run in several crashes, one after the
 // other, of different servers and requests, without a run in which it did no harm.
+// It takes more crashes if the servers are not known to have gone down.
 //
 // Daemons send each other what they have observed and relay what they have received,
 // so that neither the size of the fleet nor the restart of a daemon loses it.
@@ -29,6 +30,10 @@
 	// minOtherRequests is the number of these crashes that must remain if those
 	// with any one request are left out: that request may be the cause.
 	minOtherRequests = 2
+	// lostThreshold takes the place of partThreshold where servers still accept
+	// connections. As one of them may be faulty, there must be minLostServers.
+	lostThreshold  = 5
+	minLostServers = 2
 
 	// requestTTL and partTTL are how long a request, or requests with a part, are
 	// refused after the latest crash.
