peer: a forward that ends because its home is considered down says so

What was seen: TestConcurrentChatsGetTheirOwnResponses failed once with "connection to the home was lost", which didn't tell a lost connection from the failure detector's verdict.

Change: the message is "home is considered down" then. Codes and outcomes are the same.

--- a/fleet/peer/forward.go
+++ b/fleet/peer/forward.go
@@ -72,7 +72,7 @@
 	if ctx.Err() != nil && !isPeerDown(ctx) {
 		return outcome.NewNotRun(contextCode(ctx), "request ended before it was sent").WithCause(err)
 	}
-	return outcome.NewNotRun(outcome.CodePeerFailed, "home was not reached").WithCause(err).WithReplan()
+	return outcome.NewNotRun(outcome.CodePeerFailed, peerFailure(ctx, "home was not reached")).WithCause(err).WithReplan()
 }
 
 // unknownError returns the error for a failure after which the peer may have run
@@ -81,7 +81,16 @@
 	if ctx.Err() != nil && !isPeerDown(ctx) {
 		return outcome.NewUnknown(contextCode(ctx), "request ended while it ran").WithCause(err)
 	}
-	return outcome.NewUnknown(outcome.CodePeerFailed, "connection to the home was lost").WithCause(err).WithReplan()
+	return outcome.NewUnknown(outcome.CodePeerFailed, peerFailure(ctx, "connection to the home was lost")).WithCause(err).WithReplan()
+}
+
+// peerFailure returns the message for the failure of a peer: whether it is considered
+// down, which ends forwards to it, or otherwise what happened to the connection.
+func peerFailure(ctx context.Context, connection string) string {
+	if isPeerDown(ctx) {
+		return "home is considered down"
+	}
+	return connection
 }
 
 // contextCode returns the outcome code for the reason why ctx is done.
