tests/invariant: two tests without faults do not depend on processor time

Cause: both demand that each request is answered, in a fleet in which nothing fails, but the fleet's own time limits were short: a peer that is silent for 500 ms is considered down, and forwards to it end; a booking that waits 5 s for a slot is refused. With too little processor time both happen.

Change: the fleets of these two have limits that too little processor time doesn't reach. What the tests check, and the fleet that faults are injected into, are as before.

--- a/tests/invariant/at_most_once_test.go
+++ b/tests/invariant/at_most_once_test.go
@@ -192,9 +192,15 @@
 
 func TestServiceThatChecksKeysRunsAKeyOnce(t *testing.T) {
 	t.Parallel()
+	document := strings.NewReplacer(
+		"[services.arkiv-app]", "[services.arkiv-app]\nchecks_key = true",
+		`queue_timeout = "5s"`, `queue_timeout = "60s"`, // as in toleratePauses
+		`deadline = "20s"`, `deadline = "60s"`,
+	)
 	f := harness.Start(t, harness.Options{
 		Daemons: 3, Services: 1, Service: plainservice.Config{CheckKey: true, Delay: 10 * time.Millisecond},
-		Base: strings.Replace(harness.BaseDocument, "[services.arkiv-app]", "[services.arkiv-app]\nchecks_key = true", 1),
+		Base:           document.Replace(harness.BaseDocument),
+		ModifySettings: toleratePauses,
 	})
 	for i, point := range []plainservice.FaultPoint{"", plainservice.FaultAfterHeaders, plainservice.FaultAfterBody, plainservice.FaultInResponse} {
 		r := bookingRequest(fmt.Sprintf("k%d", i), "")
--- a/tests/invariant/complete_response_test.go
+++ b/tests/invariant/complete_response_test.go
@@ -267,26 +267,33 @@
 
 func TestConcurrentChatsGetTheirOwnResponses(t *testing.T) {
 	t.Parallel()
+	t.Run("faults false", func(t *testing.T) {
+		f := harness.Start(t, harness.Options{Daemons: 3, Engines: 3, ModifySettings: toleratePauses})
+		runChats(t, f, false)
+	})
+	t.Run("faults true", func(t *testing.T) {
+		f := harness.Start(t, harness.Options{Daemons: 3, Engines: 3})
+		runChats(t, f, true)
+	})
+}
+
+// runChats holds several chats at once, under injected faults if faulty is set.
+func runChats(t *testing.T, f *harness.Fleet, faulty bool) {
 	const callers, turns = 16, 10
-	f := harness.Start(t, harness.Options{Daemons: 3, Engines: 3})
-	for _, faulty := range []bool{false, true} {
-		t.Run(fmt.Sprintf("faults %t", faulty), func(t *testing.T) {
-			ctx, cancel := context.WithTimeout(context.Background(), harness.WaitTimeout)
-			var injector, wg sync.WaitGroup
-			injectCtx, stopFaults := context.WithCancel(ctx)
-			if faulty {
-				injector.Go(func() { injectFaults(injectCtx, f) })
-			}
-			for c := range callers {
-				client := f.Caller(uint64(c))
-				wg.Go(func() { runChat(ctx, t, client, fmt.Sprintf("chat %d %t", c, faulty), turns, faulty) })
-			}
-			wg.Wait()
-			stopFaults()
-			injector.Wait()
-			cancel()
-		})
+	ctx, cancel := context.WithTimeout(context.Background(), harness.WaitTimeout)
+	defer cancel()
+	injectCtx, stopFaults := context.WithCancel(ctx)
+	var injector, wg sync.WaitGroup
+	if faulty {
+		injector.Go(func() { injectFaults(injectCtx, f) })
+	}
+	for c := range callers {
+		client := f.Caller(uint64(c))
+		wg.Go(func() { runChat(ctx, t, client, fmt.Sprintf("chat %d %t", c, faulty), turns, faulty) })
 	}
+	wg.Wait()
+	stopFaults()
+	injector.Wait()
 }
 
 // runChat holds a chat of several turns. The client verifies each response. Under
--- a/tests/invariant/invariant_test.go
+++ b/tests/invariant/invariant_test.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/goleak"
 
+	"cassialatch.dev/config/setting"
 	"cassialatch.dev/outcome"
 	"cassialatch.dev/seal/keyring"
 	"cassialatch.dev/seal/ticket"
@@ -50,6 +51,10 @@
 	ticket  string
 }
 
+// toleratePauses makes the daemons of a fleet without faults ignore that a peer is
+// silent for a while, since tests may get too little processor time.
+func toleratePauses(s *setting.Settings) { s.Control.PeerTimeout = harness.WaitTimeout }
+
 // send sends one copy of a request to a daemon.
 func send(d *harness.Daemon, r request) response {
 	req, err := http.NewRequest(r.method, "http://"+d.Settings.Listen.Caller+r.path, strings.NewReader(r.body))
