--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -1,8 +1,9 @@
 // Package peers implements the gossip between the daemons of a fleet. Daemons
 // exchange UDP datagrams, which show that the sender is alive and contain its
 // revision of the published state, whether it is leaving, its in-flight requests
-// by backend server, updates on cache contents, and what crashes backend servers. A daemon that receives a newer revision than its own fetches
-// the state from the sender over HTTP.
+// by backend server, updates on cache contents, and what crashes backend servers.
+// A daemon that receives a newer revision than its own fetches the state from the
+// sender over HTTP.
 //
 // Daemons discover each other from seed addresses. In a small fleet each daemon
 // sends to all others. In a large fleet each sends to a few random peers, which
@@ -22,9 +23,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"cassialatch.dev/gateway/boottime"
-	"cassialatch.dev/gateway/cacheindex"
 	"cassialatch.dev/gateway/catalog"
-	"cassialatch.dev/gateway/quarantine"
 )
 
 const (
@@ -55,55 +54,6 @@
 // IsSeed reports whether this daemon is one of the seeds.
 func (s Self) IsSeed() bool { return slices.Contains(s.Seeds, s.IP) }
 
-// Message is the content of a datagram. It is encoded as a CBOR array, so the order
-// and types of its fields are part of the protocol.
-type Message struct {
-	_               struct{} `cbor:",toarray"`
-	Reply           bool     // requests a message in return
-	State           State
-	Revision        int64  // of the published state
-	Hash            uint64 // content hash of the published state
-	AgeMS           int64  // age of the sender's last confirmation; -1: none
-	InFlight        []InFlight
-	CrashNews       quarantine.News
-	CacheUpdates    []cacheindex.Entry
-	Relayed         []RelayedPeer // some of the daemons that the sender counts as alive
-	RelayedInFlight bool          // the relayed entries contain their in-flight requests
-}
-
-// State is what a daemon reports about itself.
-type State struct {
-	_              struct{} `cbor:",toarray"`
-	Ready          bool     // accepts requests from callers
-	Leaving        bool     // is draining before it stops
-	CachesKnown    bool     // has received or listed the contents of the servers' caches
-	StoreReachable bool     // its last poll of the store succeeded
-	Zone           ZoneTag
-}
-
-// ZoneTag is a 16-bit hash of the name of an availability zone.
-type ZoneTag uint16
-
-func zoneTag(zone string) ZoneTag { return ZoneTag(xxhash.Sum64String(zone)) }
-
-// RelayedPeer is the latest state of a third daemon that the sender of a message
-// has received, directly or relayed by another daemon.
-type RelayedPeer struct {
-	_        struct{} `cbor:",toarray"`
-	IP       string
-	AgeMS    int64 // since the daemon sent it
-	State    State
-	InFlight []InFlight
-}
-
-// InFlight counts the in-flight requests of a daemon at one backend server.
-type InFlight struct {
-	_        struct{} `cbor:",toarray"`
-	Server   uint32   // tag of the server's incarnation
-	Requests int
-	Tokens   int // of prompts that the server is still computing
-}
-
 // Peer is another daemon of the fleet.
 type Peer struct {
 	IP string
@@ -286,62 +236,6 @@
 // rankKey returns the key by which Rank orders the daemons.
 func rankKey(ip string) uint64 { return xxhash.Sum64String(ip) }
 
-// targets returns the daemons to send to in this gossip round. It also removes
-// expired daemons from the table.
-func (t *Table) targets() []target {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.clock()
-	list := make([]target, 0, len(t.peers))
-	for ip, p := range t.peers {
-		if now.Sub(max(p.lastSeen, p.lastMentioned)) > peerExpiry && !t.isSeed(ip) {
-			delete(t.peers, ip)
-			continue
-		}
-		list = append(list, target{ip: ip, incarnation: p.incarnation, echo: p.lastSentAt, crossZone: p.Zone != zoneTag(t.self.Zone)})
-	}
-	if !t.large() {
-		return list
-	}
-	return sampleTargets(list)
-}
-
-// sampleTargets selects up to fanout random targets and prefers those in the same
-// availability zone.
-func sampleTargets(list []target) []target {
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	var sameZone, crossZone []target
-	for _, to := range list {
-		if to.crossZone {
-			crossZone = append(crossZone, to)
-		} else {
-			sameZone = append(sameZone, to)
-		}
-	}
-	crossZoneCount := min(len(crossZone), max(crossZoneFanout, fanout-len(sameZone)))
-	sameZoneCount := min(len(sameZone), fanout-crossZoneCount)
-	return slices.Concat(sameZone[:sameZoneCount], crossZone[:crossZoneCount])
-}
-
-// target returns the target for a reply to a daemon.
-func (t *Table) target(ip string) target {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	to := target{ip: ip}
-	if p, ok := t.peers[ip]; ok {
-		to.incarnation, to.echo = p.incarnation, p.lastSentAt
-	}
-	return to
-}
-
-// target is a daemon to send to, with the values to echo to it.
-type target struct {
-	ip          string
-	incarnation uint64
-	echo        boottime.Instant
-	crossZone   bool // in another availability zone, or the zone is not known yet
-}
-
 // recordMessage records a message received from a daemon. It returns false and
 // records nothing if the message is older than the latest one.
 func (t *Table) recordMessage(ip string, h header, m *Message) bool {
