--- a/gateway/quarantine/crash.go
+++ b/gateway/quarantine/crash.go
@@ -53,52 +53,59 @@
 			b.at = c.at
 		}
 	}
-	unexplained := t.unexplained()
-	if !slices.Contains(unexplained, c) {
+	known := t.explanation()
+	if known.covers(c) {
 		return
 	}
 	if c.AtStart {
-		t.judgeParts(c, unexplained)
-		unexplained = t.unexplained()
+		t.judgeParts(c, known)
+		known = t.explanation()
 	}
-	if slices.Contains(unexplained, c) {
-		t.judgeRequest(c, unexplained)
+	if !known.covers(c) {
+		t.judgeRequest(c, known)
 	}
 }
 
-// unexplained returns the crashes that are not explained by a part that is banned, by
-// time. If a server went down because of such a part, what else was running there is
-// not suspected either. t.mu is held.
-func (t *Table) unexplained() []*crash {
-	covered := make(map[*crash]bool)
-	down := make(map[uint32]bool)
+// explanation says which crashes are explained by a part that is banned.
+type explanation struct {
+	bans []*ban          // those of parts
+	down map[uint32]bool // servers that went down because of such a part
+}
+
+// explanation returns the explanation by the bans in force. t.mu is held.
+func (t *Table) explanation() explanation {
+	e := explanation{down: make(map[uint32]bool)}
 	for _, b := range t.bans {
-		if len(b.Parts) == 0 {
-			continue
-		}
-		for _, c := range t.crashes {
-			if b.covers(c.Fingerprint, c.Parts) {
-				covered[c] = true
-				down[c.Server] = down[c.Server] || c.ServerDown
-			}
+		if len(b.Parts) > 0 {
+			e.bans = append(e.bans, b)
 		}
 	}
-	var rest []*crash
+	if len(e.bans) == 0 {
+		return e
+	}
 	for _, c := range t.crashes {
-		if !covered[c] && !down[c.Server] {
-			rest = append(rest, c)
+		if c.ServerDown && e.banned(c) {
+			e.down[c.Server] = true
 		}
 	}
-	slices.SortFunc(rest, func(a, b *crash) int { return a.at.Compare(b.at) })
-	return rest
+	return e
 }
 
+// banned reports whether the crashed run has a part that is banned.
+func (e *explanation) banned(c *crash) bool {
+	return slices.ContainsFunc(e.bans, func(b *ban) bool { return b.covers(c.Fingerprint, c.Parts) })
+}
+
+// covers reports whether a crash is explained. If a server went down because of a part
+// that is banned, what else was running there is not suspected either.
+func (e *explanation) covers(c *crash) bool { return e.down[c.Server] || e.banned(c) }
+
 // judgeRequest bans the request of a crash if it has crashed often enough. t.mu is
 // held.
-func (t *Table) judgeRequest(latest *crash, unexplained []*crash) {
+func (t *Table) judgeRequest(latest *crash, known explanation) {
 	n := 0
-	for _, c := range unexplained {
-		if c.Fingerprint == latest.Fingerprint && !c.completedSince {
+	for _, c := range t.crashes {
+		if c.Fingerprint == latest.Fingerprint && !c.completedSince && !known.covers(c) {
 			n++
 		}
 	}
@@ -110,10 +117,10 @@
 // judgeParts bans the most specific part of a crash that explains enough crashes:
 // the last, since fewer requests have it. Parts that were present in all of these are
 // banned together: only requests with all of them are refused. t.mu is held.
-func (t *Table) judgeParts(latest *crash, unexplained []*crash) {
+func (t *Table) judgeParts(latest *crash, known explanation) {
 	more := 0 // crashes beyond the thresholds
 	for _, p := range slices.Backward(latest.Parts) {
-		if s := t.evidence(p, unexplained, more); s != nil {
+		if s := t.evidence(p, known, more); s != nil {
 			t.ban(Ban{Parts: t.commonParts(s)}, latest.at, len(s))
 			return
 		}
@@ -123,13 +130,14 @@
 
 // evidence returns the crashes which show that a part crashes servers; nil if there
 // are too few. t.mu is held.
-func (t *Table) evidence(part uint64, unexplained []*crash, more int) []*crash {
+func (t *Table) evidence(part uint64, known explanation, more int) []*crash {
 	var suspects []*crash
-	for _, c := range unexplained {
-		if c.AtStart && c.at.After(t.sound[part]) && slices.Contains(c.Parts, part) {
+	for _, c := range t.crashes {
+		if c.AtStart && c.at.After(t.sound[part]) && slices.Contains(c.Parts, part) && !known.covers(c) {
 			suspects = append(suspects, c)
 		}
 	}
+	slices.SortFunc(suspects, func(a, b *crash) int { return a.at.Compare(b.at) })
 	down := successive(serversDown(suspects), func(a, b *crash) bool { return a.Server != b.Server })
 	if len(down) >= partThreshold+more && t.otherRequests(down) >= minOtherRequests {
 		return down
