quarantine: an earlier part needs a fourth crash only if another may be the cause

Cause: a part that isn't the last shared one needed four crashes instead of three, always. The fourth is for the order of reports: at the third crash, the sound run beside the cause may be reported first, and its parts may be those of the cause. But then another part has been there in the crashes before, too.

Change: the fourth crash (or sixth lost run) is required only if another part, that did no harm in no run since, was at its start on all of these servers but one.

--- a/gateway/quarantine/crash.go
+++ b/gateway/quarantine/crash.go
@@ -118,19 +118,17 @@
 // the last, since fewer requests have it. Parts that were present in all of these are
 // banned together: only requests with all of them are refused. t.mu is held.
 func (t *Table) judgeParts(latest *crash, known explanation) {
-	more := 0 // crashes beyond the thresholds
 	for _, p := range slices.Backward(latest.Parts) {
-		if s := t.evidence(p, known, more); s != nil {
+		if s := t.evidence(p, known); s != nil {
 			t.ban(Ban{Parts: t.commonParts(s)}, latest.at, len(s))
 			return
 		}
-		more = 1
 	}
 }
 
 // evidence returns the crashes which show that a part crashes servers; nil if there
 // are too few. t.mu is held.
-func (t *Table) evidence(part uint64, known explanation, more int) []*crash {
+func (t *Table) evidence(part uint64, known explanation) []*crash {
 	var suspects []*crash
 	for _, c := range t.crashes {
 		if c.AtStart && c.at.After(t.sound[part]) && slices.Contains(c.Parts, part) && !known.covers(c) {
@@ -139,16 +137,56 @@
 	}
 	slices.SortFunc(suspects, func(a, b *crash) int { return a.at.Compare(b.at) })
 	down := successive(serversDown(suspects), func(a, b *crash) bool { return a.Server != b.Server })
-	if len(down) >= partThreshold+more && t.otherRequests(down) >= minOtherRequests {
+	if len(down) >= t.required(partThreshold, part, down) && t.otherRequests(down) >= minOtherRequests {
 		return down
 	}
 	lost := successive(suspects, func(a, b *crash) bool { return a.Fingerprint != b.Fingerprint })
-	if len(lost) >= lostThreshold+more && numServers(lost) >= minLostServers {
+	if len(lost) >= t.required(lostThreshold, part, lost) && numServers(lost) >= minLostServers {
 		return lost
 	}
 	return nil
 }
 
+// required returns how many crashes a part needs in order to be banned: one more than
+// the threshold if they may have another cause, which is known of all of them but one.
+// Which runs were on the latest server may not be known yet. t.mu is held.
+func (t *Table) required(threshold int, part uint64, crashes []*crash) int {
+	if len(crashes) >= threshold && t.mostByAnotherPart(part, crashes) >= threshold-1 {
+		return threshold + 1
+	}
+	return threshold
+}
+
+// mostByAnotherPart returns the number of the servers of these crashes that another
+// part may have crashed, for the part for which there are most. Parts that did no harm
+// since, or that all of these runs have, are left out. t.mu is held.
+func (t *Table) mostByAnotherPart(part uint64, crashes []*crash) int {
+	common := t.commonParts(crashes)
+	servers := make(map[uint64]map[uint32]bool) // by part
+	most := 0
+	for _, c := range t.crashes {
+		if !c.AtStart || !onServers(c, crashes) {
+			continue
+		}
+		for _, p := range c.Parts {
+			if p == part || slices.Contains(common, p) || !c.at.After(t.sound[p]) {
+				continue
+			}
+			if servers[p] == nil {
+				servers[p] = make(map[uint32]bool)
+			}
+			servers[p][c.Server] = true
+			most = max(most, len(servers[p]))
+		}
+	}
+	return most
+}
+
+// onServers reports whether a run was on one of the servers of the crashes.
+func onServers(r *crash, crashes []*crash) bool {
+	return slices.ContainsFunc(crashes, func(c *crash) bool { return c.Server == r.Server })
+}
+
 // serversDown returns the crashes after which the server accepted no connections.
 func serversDown(crashes []*crash) []*crash {
 	var list []*crash
@@ -192,7 +230,7 @@
 	servers := make(map[uint64]map[uint32]bool) // by request
 	most := 0
 	for _, c := range t.crashes {
-		if !c.AtStart || !slices.ContainsFunc(crashes, func(o *crash) bool { return o.Server == c.Server }) {
+		if !c.AtStart || !onServers(c, crashes) {
 			continue
 		}
 		if servers[c.Fingerprint] == nil {
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -24,8 +24,7 @@
 	// requestThreshold is the number of crashes from which a request is refused.
 	requestThreshold = 3
 	// partThreshold is the number of successive crashes from which requests with a
-	// part are refused, if it is the last that they share. An earlier part, which
-	// more requests have, needs one more.
+	// part are refused; one more if another part may have caused them.
 	partThreshold = 3
 	// minOtherRequests is the number of these crashes that must remain if those
 	// with any one request are left out: that request may be the cause.
