tests/soak: servers leave, and ask for pauses

The soak checked neither of the two new rules. Now a server at a time says in its responses that it is leaving, for longer than the drain bound, and is then replaced; or turns requests away with Retry-After for a while. The soak checks what daemons send there after they have been told; a restart or a pause of the daemon excuses it. The random numbers have a stream of their own, so that the faults of each seed are the same as before.

--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -22,11 +23,12 @@
 	maxEvents     = 40
 )
 
-// Ledger records the runs of each request on all runners that share it. It is safe
-// for concurrent use.
+// Ledger records the runs of each request, and the refusals, on all runners that share
+// it. It is safe for concurrent use.
 type Ledger struct {
-	mu   sync.Mutex
-	runs map[string][]Run
+	mu       sync.Mutex
+	runs     map[string][]Run
+	refusals map[string][]Run
 }
 
 // Run is the start of one run of a request.
@@ -36,7 +38,9 @@
 }
 
 // NewLedger returns an empty ledger.
-func NewLedger() *Ledger { return &Ledger{runs: make(map[string][]Run)} }
+func NewLedger() *Ledger {
+	return &Ledger{runs: make(map[string][]Run), refusals: make(map[string][]Run)}
+}
 
 func (l *Ledger) recordRun(id, runner string) {
 	l.mu.Lock()
@@ -51,12 +55,42 @@
 	return slices.Clone(l.runs[id])
 }
 
+func (l *Ledger) recordRefusal(id, runner string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refusals[id] = append(l.refusals[id], Run{Runner: runner, Start: time.Now()})
+}
+
+// Refusals returns the refusals of a request by paused runners, oldest first.
+func (l *Ledger) Refusals(id string) []Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.refusals[id])
+}
+
+// Mode is how a Runner treats requests.
+type Mode int32
+
+// Modes.
+const (
+	Serving Mode = iota
+	Leaving      // responses say that the runner is leaving
+	Paused       // requests are refused for PauseTime
+)
+
+// PauseTime is the time that a paused runner asks for with each refusal.
+const PauseTime = time.Second
+
 // Runner is one incarnation of a backend server. It implements http.Handler.
 type Runner struct {
 	ID     string
 	Ledger *Ledger
+	mode   atomic.Int32
 }
 
+// SetMode sets the mode. A new Runner is in mode Serving.
+func (r *Runner) SetMode(m Mode) { r.mode.Store(int32(m)) }
+
 // EventCount returns the number of events in the stream of a request.
 func EventCount(requestID string) int {
 	h := fnv.New32a()
@@ -89,6 +123,16 @@
 		fmt.Fprint(w, `{"held":[]}`)
 		return
 	}
+	switch Mode(r.mode.Load()) {
+	case Leaving:
+		h.Set("Server-Leaving", "1")
+	case Paused:
+		r.Ledger.recordRefusal(id, r.ID)
+		h.Set("Cassialatch-Not-Executed", "1")
+		h.Set("Retry-After", strconv.FormatFloat(PauseTime.Seconds(), 'f', -1, 64))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	r.Ledger.recordRun(id, r.ID)
 	h.Set("Cassialatch-Response-Signature", r.ID+"."+id)
 	switch {
--- a/tests/soak/disturbance_test.go
+++ b/tests/soak/disturbance_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -48,6 +49,20 @@
 	return false
 }
 
+// maxRestart is the time after SIGTERM within which a daemon has started again.
+const maxRestart = 10 * time.Second
+
+// disturbed reports whether a daemon may have started, or a fault of it lasted, at some
+// moment between two times.
+func (d *disturbances) disturbed(ip string, from, to time.Time) bool {
+	if d.overlap(ip, from, to) {
+		return true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.ContainsFunc(d.stops[ip], func(at time.Time) bool { return at.After(from.Add(-maxRestart)) && at.Before(to) })
+}
+
 // recordStop records that a daemon is sent SIGTERM now.
 func (d *disturbances) recordStop(ip string) {
 	d.mu.Lock()
--- a/tests/soak/fleet_test.go
+++ b/tests/soak/fleet_test.go
@@ -273,6 +273,11 @@
 func (s *server) crash() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stop()
+}
+
+// stop implements crash. The caller must hold s.mu.
+func (s *server) stop() {
 	if s.http != nil {
 		s.f.disturbances.begin(s.handler.ID) // does not end: the incarnation is gone
 		s.http.CloseClientConnections()
@@ -286,6 +291,22 @@
 func (s *server) restart() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.start()
+}
+
+// replace stops the incarnation and starts another one, unless another one was started
+// already.
+func (s *server) replace(incarnation *runner.Runner) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.handler == incarnation && s.http != nil {
+		s.stop()
+		s.start()
+	}
+}
+
+// start implements restart. The caller must hold s.mu.
+func (s *server) start() {
 	if s.handler != nil {
 		s.f.store.Delete("servers/" + s.handler.ID)
 	}
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -69,8 +69,8 @@
 
 // TestSoak checks, for each seed, that no unsafe request runs twice, that no request
 // reported as not run has run, that no key is accepted longer than revokeBound after
-// its revocation, that no caller gets a response with a wrong body, and that the
-// fleet recovers after the faults.
+// its revocation, that no caller gets a response with a wrong body, that servers which
+// leave or ask for a pause are left alone, and that the fleet recovers after the faults.
 func TestSoak(t *testing.T) {
 	start := *firstSeed
 	if start == 0 {
@@ -114,6 +114,8 @@
 	}
 	f.startPersistentCallers(ctx, &wg, seed, &results)
 	wg.Go(func() { f.changeIdleTimeout(ctx, rand.New(rand.NewPCG(seed, idleStream))) })
+	var left leavingServers
+	wg.Go(func() { left = f.changeServerModes(ctx, rand.New(rand.NewPCG(seed, modeStream))) })
 	var stops sync.WaitGroup
 	if changes.IntN(2) == 0 {
 		stops.Go(func() { f.stopInTurn(changes) })
@@ -123,6 +125,8 @@
 	stop()
 	wg.Wait()
 	f.checkResults(results.all, revoked)
+	f.checkLeaving(results.all, left)
+	f.checkPauses(results.all)
 	f.checkRecovery(seed)
 }
 
@@ -132,6 +136,7 @@
 	recoveryStream   = 99
 	changesStream    = 1000
 	idleStream       = 1001
+	modeStream       = 1002
 	persistentStream = 2000
 )
 
