--- a/gateway/quarantine/crash.go
+++ b/gateway/quarantine/crash.go
@@ -114,8 +114,8 @@
 	}
 }
 
-// judgeParts bans the most specific part of a crash that explains enough crashes:
-// the last, since fewer requests have it. Parts that were present in all of these are
+// judgeParts bans the most specific part of a crash for which there is evidence: the
+// last one, since fewer requests have it. Parts that all of these crashed runs have are
 // banned together: only requests with all of them are refused. t.mu is held.
 func (t *Table) judgeParts(latest *crash, known explanation) {
 	for _, p := range slices.Backward(latest.Parts) {
@@ -147,9 +147,9 @@
 	return nil
 }
 
-// required returns how many crashes a part needs in order to be banned: one more than
-// the threshold if they may have another cause, which is known of all of them but one.
-// Which runs were on the latest server may not be known yet. t.mu is held.
+// required returns how many crashes it takes to ban a part: the threshold, or one more
+// if another part was on all of their servers but one. That part may be the cause, in a
+// run on the remaining server that has not been reported yet. t.mu is held.
 func (t *Table) required(threshold int, part uint64, crashes []*crash) int {
 	if len(crashes) >= threshold && t.mostByAnotherPart(part, crashes) >= threshold-1 {
 		return threshold + 1
@@ -157,9 +157,9 @@
 	return threshold
 }
 
-// mostByAnotherPart returns the number of the servers of these crashes that another
-// part may have crashed, for the part for which there are most. Parts that did no harm
-// since, or that all of these runs have, are left out. t.mu is held.
+// mostByAnotherPart returns on how many of the servers of these crashes another part
+// was at the start of a run, for the part for which these are most. Parts that all of
+// the crashed runs have, or that did no harm since, are left out. t.mu is held.
 func (t *Table) mostByAnotherPart(part uint64, crashes []*crash) int {
 	common := t.commonParts(crashes)
 	servers := make(map[uint64]map[uint32]bool) // by part
