upstream: a response without an ID on a reused connection is not believed

What callers would see: where a server writes an earlier response once more on a kept connection, and without an ID, the caller of the next request received it as its own: a success, an error, or a 503 that promises that the request has not run.

Cause: distrusts a refusal without an ID; any other response without one was taken for the response to the request in flight. The class is the same: what says nothing of its request was believed by its position on the connection.

Evidence: the new test, on the code before: 200, 404, 500 and 503 of the earlier response instead of 502, in all four cases.

Change: on a connection on which a request was sent before, a response without an ID is no response to this one; the request may have run. The first response of a connection can't belong to another request and is accepted as before. The server of TestSend_AcceptsLargeHeadAndBody, which reuses a connection, now sends the ID as real ones do; its checks are the same. The file of the tests is named after what they test.

--- a/gateway/ingress/repeated_refusal_test.go
+++ b/gateway/ingress/stray_response_test.go
@@ -46,3 +46,29 @@
 		})
 	}
 }
+
+// Guards against a server that writes an earlier response once more on a kept
+// connection, without an ID: the caller of the next request must not get it.
+func TestHandler_DoesNotForwardRepeatedResponse(t *testing.T) {
+	const repeated = "HTTP/1.1 %s\r\nSignature: x\r\nContent-Length: 7\r\n\r\nearlier"
+	for _, status := range []string{"200 OK", "404 Not Found", "500 Broken", "503 Full"} {
+		t.Run(status, func(t *testing.T) {
+			is := is.New(t)
+			b := startBackend(t, func(_ *backend, req *http.Request, conn net.Conn) {
+				id := req.Header.Get("Id")
+				if id == "second" {
+					fmt.Fprintf(conn, repeated, status)
+				}
+				writeResponse(conn, id, "", "fine")
+			})
+			f := newFixture(t, b)
+			_, body, err := f.do(t, "/unsafe/x", "Id", "first")
+			is.NoErr(err)
+			is.Equal(body, "fine")
+			resp, body, err := f.do(t, "/unsafe/x", "Id", "second")
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, http.StatusBadGateway)
+			is.Equal(body, "")
+		})
+	}
+}
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -38,6 +38,7 @@
 	br        *bufio.Reader // reads from Read, which applies readLimit
 	readLimit int64         // bytes that Read may still return
 	lost      bool          // a read has failed or reached the end of the connection
+	used      bool          // a request was sent on it
 	idleUntil time.Time     // not reused from then on
 }
 
--- a/gateway/upstream/endless_test.go
+++ b/gateway/upstream/endless_test.go
@@ -123,7 +123,7 @@
 			if _, err := http.ReadRequest(br); err != nil {
 				return
 			}
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX: %s\r\nContent-Length: %d\r\n\r\n%s", value, len(payload), payload)
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: 1\r\nX: %s\r\nContent-Length: %d\r\n\r\n%s", value, len(payload), payload)
 		}
 	})
 	p := NewPool(dialect{})
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -63,10 +63,10 @@
 	return fmt.Sprintf("upstream: response with invalid status %d", e.Status)
 }
 
-// ErrRefusalWithoutID is the cause of an Error if the server refuses a request
-// without naming it. The refusal may belong to an earlier request on the connection,
-// and this one may be running.
-var ErrRefusalWithoutID = errors.New("upstream: refusal without a request ID")
+// ErrNoResponseID is the cause of an Error if a response does not name its request
+// and may belong to an earlier one on the connection, so that this one may be running.
+// A refusal without an ID is not believed on any connection.
+var ErrNoResponseID = errors.New("upstream: response without a request ID")
 
 // maxMismatched limits the responses to other requests that are skipped.
 const maxMismatched = 4
@@ -186,14 +186,16 @@
 // readHead reads the head of the response to req. It skips responses to other
 // requests.
 func (r *Response) readHead(req *Request) error {
+	reused := r.conn.used
+	r.conn.used = true
 	for skipped := 0; ; skipped++ {
 		resp, err := r.conn.readResponse(req.Method)
 		if err != nil {
 			return err
 		}
 		head := r.pool.dialect.ParseResponse(resp)
-		if head.NotExecuted && head.RequestID == "" && req.ID != "" {
-			return ErrRefusalWithoutID
+		if head.RequestID == "" && req.ID != "" && (reused || head.NotExecuted) {
+			return ErrNoResponseID
 		}
 		if head.RequestID == "" || head.RequestID == req.ID {
 			r.ResponseHead, r.Header, r.Body, r.resp = head, resp.Header, resp.Body, resp
