ingress: the status of a server's response doesn't promise that a request has not run

What callers would see: a server that responds to a booking, or to a stream that may not be resumed, with 408, 421, 429 or 503, but doesn't say that it has not run it, may have run it. The status was forwarded, and callers take it for the promise that they may try again: the request runs twice.

Cause: only responses that say so are handled as refusals, but the status of all others was forwarded whatever callers read from it.

Change: where a request may not be repeated, such a response ends in 502 of the gateway's own, without the server's signature, which vouches for another status. Requests that may be repeated get the response as before.

--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -65,6 +65,9 @@
 	case resp.Status >= 200 && resp.Status < 300 && !resp.Signed:
 		resp.Abort()
 		return q.handleFailure(s, a, ReasonResponseUnsigned, "")
+	case promisesNotRun(resp.Status) && !q.route.Repeatable():
+		drain(resp)
+		return q.handleFailure(s, a, ReasonServerError, "status promises that the request has not run, but it may have")
 	case resp.Status >= 200 && resp.Status < 300 && q.route.Kind == route.Stream:
 		return q.forwardStream(ctx, w, s, a, resp)
 	default:
@@ -72,6 +75,16 @@
 	}
 }
 
+// promisesNotRun reports whether callers take a status for the promise that the
+// request has not run and will not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // upstreamRequest returns the request to send to server s, which may fetch cached
 // parts of the prompt from source.
 func (q *request) upstreamRequest(s, source *catalog.Server) *upstream.Request {
