ingress: a rejection by a server doesn't clear what crashes servers

What callers would see: requests with a part that crashes servers go on reaching servers if some servers turn a few of them away with a 4xx, such as 413, before they run them.

Cause: any response below 500 counted as a run in which the request, and the parts of its prompt, did no harm. A response that comes before the request runs shows nothing.

Evidence: the new test, on the code before: with every second request rejected, all 12 servers crash, by one request that is sent again and by a part of many.

Change: only a success clears. Then 3 of 12 servers crash in both cases.

--- a/gateway/ingress/crash_test.go
+++ b/gateway/ingress/crash_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -162,3 +163,37 @@
 	}
 	is.Equal(runs.Load(), int32(requests))
 }
+
+// Guards against clearing what crashes servers, one request or the part of many, because
+// some servers turn requests away before they run them.
+func TestHandler_RejectionsClearNothingThatCrashesServers(t *testing.T) {
+	for name, c := range map[string]struct{ path, parts string }{
+		"one request": {"/once/same", ""},
+		"a part":      {"/once/other-%d", "1,66,%d"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			const servers, requests = 12, 40
+			var runs atomic.Int32
+			rejectSome := func(b *backend, req *http.Request, c net.Conn) {
+				if runs.Add(1)%2 == 0 {
+					fmt.Fprintf(c, "HTTP/1.1 413 Too Large\r\nId: %s\r\nSignature: x\r\nContent-Length: 0\r\n\r\n", req.Header.Get("Id"))
+					return
+				}
+				b.stop()
+				resetConn(b, req, c)
+			}
+			var backends []*backend
+			for range servers {
+				backends = append(backends, startBackend(t, rejectSome))
+			}
+			f := newFixture(t, backends...)
+			for n := range requests {
+				number := strings.NewReplacer("%d", strconv.Itoa(100+n))
+				_, _, err := f.do(t, number.Replace(c.path), "Id", fmt.Sprint("bad", n), "Parts", number.Replace(c.parts))
+				is.NoErr(err)
+			}
+			is.Equal(stoppedBackends(backends), 3)
+		})
+	}
+}
--- a/gateway/ingress/plain.go
+++ b/gateway/ingress/plain.go
@@ -55,7 +55,7 @@
 		q.failedResponse = buffered
 		return q.handleFailure(s, a, ReasonServerError, "")
 	}
-	q.recordAnswered(s)
+	q.recordAnswered(s, a)
 	if q.headerWritten {
 		// The response to a request that resumes a stream is not a stream, so
 		// it can't continue what the caller has received.
@@ -98,7 +98,7 @@
 		q.finished = true
 		return false
 	}
-	q.recordAnswered(s)
+	q.recordAnswered(s, a)
 	return false
 }
 
--- a/gateway/ingress/response.go
+++ b/gateway/ingress/response.go
@@ -30,14 +30,16 @@
 	}
 }
 
-// recordAnswered records that the server has run the request to its end and that
-// its response is final.
-func (q *request) recordAnswered(s *catalog.Server) {
+// recordAnswered records that the response of the server is final. Only a success
+// shows that the request did no harm: it may have been rejected before it ran.
+func (q *request) recordAnswered(s *catalog.Server, a *Attempt) {
 	q.mayHaveRun = true
 	q.finished = true
 	q.h.Health.RecordSuccess(s.ID)
-	q.recordSound(q.lastAttempt())
-	q.h.Quarantine.RecordCompleted(&q.subject)
+	if a.Status < http.StatusBadRequest {
+		q.recordSound(a)
+		q.h.Quarantine.RecordCompleted(&q.subject)
+	}
 }
 
 // writeHeader forwards the status and headers of a response whose body follows as
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -75,7 +75,7 @@
 		return q.handleBrokenBody(ctx, s, a, resp, errEndWithoutEvents)
 	}
 	resp.Release()
-	q.recordAnswered(s)
+	q.recordAnswered(s, a)
 	if !q.headerWritten {
 		q.writeStreamHeader(w, resp)
 	}
