quarantine: one crash that interrupts copies of a request counts once

What callers would see: after a single crash of a server, a popular request, of which three copies were on it, is refused for a minute everywhere (503, crashes_servers), though it is sound. Sound requests that a crash interrupts must still be served.

Cause: each interrupted run counted as a crash. What is counted are crashes of servers, and the runs that one of them interrupts are one event.

Change: for a request, runs on one server count once, unless they began after the crash before. Parts were counted like this already.

--- a/gateway/quarantine/crash.go
+++ b/gateway/quarantine/crash.go
@@ -103,17 +103,38 @@
 // judgeRequest bans the request of a crash if it has crashed often enough. t.mu is
 // held.
 func (t *Table) judgeRequest(latest *crash, known explanation) {
-	n := 0
+	var suspects []*crash
 	for _, c := range t.crashes {
 		if c.Fingerprint == latest.Fingerprint && !c.completedSince && !known.covers(c) {
-			n++
+			suspects = append(suspects, c)
 		}
 	}
-	if n >= requestThreshold {
+	if n := serverCrashes(suspects); n >= requestThreshold {
 		t.ban(Ban{Fingerprint: latest.Fingerprint}, latest.at, n)
 	}
 }
 
+// serverCrashes returns how many times a server has crashed in the course of these
+// runs: those that one crash has interrupted count once.
+func serverCrashes(runs []*crash) int {
+	sortByTime(runs)
+	latest := make(map[uint32]time.Time) // by server
+	n := 0
+	for _, c := range runs {
+		if at, ok := latest[c.Server]; ok && c.SentAt.Before(at.Add(-clockSlack)) {
+			continue
+		}
+		latest[c.Server] = c.at
+		n++
+	}
+	return n
+}
+
+// sortByTime sorts crashes by their time in place.
+func sortByTime(crashes []*crash) {
+	slices.SortFunc(crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
+}
+
 // judgeParts bans the most specific part of a crash for which there is evidence: the
 // last one, since fewer requests have it. Parts that all of these crashed runs have are
 // banned together: only requests with all of them are refused. t.mu is held.
@@ -135,7 +156,7 @@
 			suspects = append(suspects, c)
 		}
 	}
-	slices.SortFunc(suspects, func(a, b *crash) int { return a.at.Compare(b.at) })
+	sortByTime(suspects)
 	down := successive(serversDown(suspects), func(a, b *crash) bool { return a.Server != b.Server })
 	if len(down) >= t.required(partThreshold, part, down) && t.otherRequests(down) >= minOtherRequests {
 		return down
