quarantine: crashes that are rare are remembered until there are enough

What callers would see: where requests with a part that crashes servers come less than three times in a minute, none is ever refused, and server after server ends. The same goes for one request that is sent again now and then; if it is refused, that ends after a minute, and three more servers end.

Cause: a crash was forgotten after a minute, the time for which a request is refused. The count could not reach three, and a ban that ended left nothing behind. The class: a memory shorter than the interval of what it counts.

Evidence: the new test, one crash in 45 s, on the code before: after three crashes neither the request nor the part was refused.

Change: crashes, and the runs that clear parts, are remembered for ten minutes, longer than any ban lasts: the crash after its end renews it. The table of parts that did no harm holds as many as its crashes can have.

--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -38,8 +38,9 @@
 	// refused after the latest crash.
 	requestTTL = time.Minute
 	partTTL    = 5 * time.Minute
-	// crashTTL is how long a crash is remembered.
-	crashTTL = time.Minute
+	// crashTTL is how long a crash is remembered, and a later run in which a part did
+	// no harm. It is longer than a ban lasts, so that one crash renews the ban.
+	crashTTL = 10 * time.Minute
 
 	// relayDrift is more than the time by which an observation appears later with
 	// each daemon that relays it, since its age does not include the transit.
@@ -47,7 +48,7 @@
 
 	maxCrashes = 512 // in a table
 	maxBans    = 64  // in a table
-	maxSound   = 512 // in a table
+	maxSound   = 4 * maxCrashes
 )
 
 // Subject is what a request can be recognised by.
@@ -201,7 +202,7 @@
 	}
 	t.bans = slices.DeleteFunc(t.bans, func(b *ban) bool { return !b.active(now) })
 	for p, at := range t.sound {
-		if now.Sub(at) >= partTTL {
+		if now.Sub(at) >= crashTTL {
 			delete(t.sound, p)
 		}
 	}
--- a/gateway/quarantine/quarantine_test.go
+++ b/gateway/quarantine/quarantine_test.go
@@ -148,6 +148,38 @@
 	is.Equal(f.refusing(first, bad), 0)
 }
 
+// Load pattern: what crashes servers comes less than once in half a minute, so that the
+// first crash is long past when there are enough. It is refused, and when that ends, the
+// next crash is enough.
+func TestShouldRefuse_RareCrashes(t *testing.T) {
+	const gap = 45 * time.Second
+	for name, run := range map[string]func(n uint64) Run{
+		"of one request": func(uint64) Run { return starting(7) },
+		"of a part":      func(n uint64) Run { return starting(100+n, first, bad) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(3)
+			next := func(n uint64) bool {
+				r := run(n)
+				return f.daemons[0].ShouldRefuse(&r.Subject)
+			}
+			for n := range uint64(3) {
+				is.True(!next(n))
+				f.now = f.now.Add(gap)
+				f.gossip() // removes what has expired
+				f.crash(run(n))
+			}
+			is.True(next(3))
+			f.now = f.now.Add(partTTL)
+			f.gossip()
+			is.True(!next(3))
+			f.crash(run(3))
+			is.True(next(4))
+		})
+	}
+}
+
 // The first part may be the one that crashes servers; the sound requests share the
 // parts behind it. One that is always there is no proof against itself, but later
 // crashes without it are.
