quarantine: short runs that one crash interrupts are not taken for successive ones

What callers saw, in a soak of four gateways in which two servers crashed within 15 ms: a first part that all requests of a workspace share was refused by all daemons, and with it each of 915 sound requests.

Cause: of runs that one crash interrupts only one counts, recognised by that the others began before it. For differences between the clocks of daemons 20 ms were allowed, but a run that is shorter than that then seems to have begun after the crash that ended it. Six runs of 13 to 16 ms on the second server counted as four crashes, one after the other.

Change: for two runs that this daemon has observed itself, its own times decide without an allowance. For others, the second one must also have ended clearly later than the first.

--- a/gateway/quarantine/crash.go
+++ b/gateway/quarantine/crash.go
@@ -23,6 +23,7 @@
 type crash struct {
 	Run
 	at             time.Time
+	local          bool // observed by this daemon
 	completedSince bool // the same request has run to its end since
 }
 
@@ -30,11 +31,21 @@
 // may deviate from each other.
 const clockSlack = 20 * time.Millisecond
 
+// begunAfter reports whether the run began after an earlier crash, so that something
+// else has interrupted it. Where the times may deviate, a run that ended together with
+// the other one did not.
+func (c *crash) begunAfter(earlier *crash) bool {
+	if c.local && earlier.local {
+		return !c.SentAt.Before(earlier.at)
+	}
+	return !c.SentAt.Before(earlier.at.Add(-clockSlack)) && !c.at.Before(earlier.at.Add(clockSlack))
+}
+
 // RecordCrash records a run of this daemon that a crash has interrupted.
 func (t *Table) RecordCrash(r *Run) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := &crash{Run: *r, at: t.now()}
+	c := &crash{Run: *r, at: t.now(), local: true}
 	if !c.AtStart {
 		c.Parts = nil
 	}
@@ -118,13 +129,13 @@
 // runs: those that one crash has interrupted count once.
 func serverCrashes(runs []*crash) int {
 	sortByTime(runs)
-	latest := make(map[uint32]time.Time) // by server
+	latest := make(map[uint32]*crash) // by server
 	n := 0
 	for _, c := range runs {
-		if at, ok := latest[c.Server]; ok && c.SentAt.Before(at.Add(-clockSlack)) {
+		if earlier := latest[c.Server]; earlier != nil && !c.begunAfter(earlier) {
 			continue
 		}
-		latest[c.Server] = c.at
+		latest[c.Server] = c
 		n++
 	}
 	return n
@@ -224,14 +235,13 @@
 // is distinct from all earlier ones that count.
 func successive(crashes []*crash, distinct func(a, b *crash) bool) []*crash {
 	var list []*crash
-	var end time.Time
 	for _, c := range crashes {
-		repeated := slices.ContainsFunc(list, func(o *crash) bool { return !distinct(o, c) })
-		if repeated || c.SentAt.Before(end.Add(-clockSlack)) {
+		if len(list) > 0 && !c.begunAfter(list[len(list)-1]) {
 			continue
 		}
-		list = append(list, c)
-		end = c.at
+		if !slices.ContainsFunc(list, func(o *crash) bool { return !distinct(o, c) }) {
+			list = append(list, c)
+		}
 	}
 	return list
 }
--- a/gateway/quarantine/quarantine_test.go
+++ b/gateway/quarantine/quarantine_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -263,6 +264,36 @@
 	is.True(f.daemons[0].ShouldRefuse(&popular.Subject))
 }
 
+// Guards against refusing the parts of sound requests because two servers crash one right
+// after the other, with many short runs on each: those are two crashes, whether the servers
+// go on listening or not.
+func TestShouldRefuse_SparesPartsAfterTwoCrashes(t *testing.T) {
+	for name, down := range map[string]bool{"down": true, "listening": false} {
+		for daemons := range 3 {
+			t.Run(fmt.Sprintf("%s, seen by %d daemons", name, daemons+1), func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(daemons + 1)
+				request := uint64(0)
+				crash := func(server uint32, runs int) {
+					sent := f.now
+					f.now = f.now.Add(15 * time.Millisecond)
+					for range runs {
+						request++
+						r := starting(request, first, sound)
+						r.Server, r.SentAt, r.ServerDown = server, sent, down
+						f.daemons[request%uint64(len(f.daemons))].RecordCrash(&r)
+						f.now = f.now.Add(time.Millisecond)
+						f.gossip()
+					}
+				}
+				crash(1, 3)
+				crash(2, 10)
+				is.Equal(f.refusing(first, sound), 0)
+			})
+		}
+	}
+}
+
 // Servers that go on listening may only lose responses, so it takes more of them, and
 // they must be of several requests on several servers.
 func TestShouldRefuse_RunsLostByListeningServers(t *testing.T) {
