quarantine: a server that is down counts as crashed once

What callers would see: after two servers have crashed, requests that daemons send on the connections which they still have to them break, one after the other, and count as further crashes: the parts that these sound requests share are refused.

Cause: the count for servers that may have gone on listening takes runs of different requests, and did not leave out those on a server that is known to have gone down.

Evidence: the new test, on the code before: twenty sound requests on two servers, one every 50 ms; their common parts are refused.

Change: a run that was sent less than a second after its server went down does not count, as no server is back so soon.

--- a/gateway/quarantine/crash.go
+++ b/gateway/quarantine/crash.go
@@ -172,7 +172,7 @@
 	if len(down) >= t.required(partThreshold, part, down) && t.otherRequests(down) >= minOtherRequests {
 		return down
 	}
-	lost := successive(suspects, func(a, b *crash) bool { return a.Fingerprint != b.Fingerprint })
+	lost := successive(suspects, func(a, b *crash) bool { return a.Fingerprint != b.Fingerprint && !stillDown(a, b) })
 	if len(lost) >= t.required(lostThreshold, part, lost) && numServers(lost) >= minLostServers {
 		return lost
 	}
@@ -230,16 +230,25 @@
 	return list
 }
 
+// minRestart is the time after a server went down within which it is not back.
+const minRestart = time.Second
+
+// stillDown reports whether the later of two runs on the same server was sent while the
+// server was down, on a connection that the crash had broken already.
+func stillDown(earlier, later *crash) bool {
+	return earlier.ServerDown && earlier.Server == later.Server && later.SentAt.Sub(earlier.at) < minRestart
+}
+
 // successive returns those of the crashes, which are sorted by time, whose run began
 // after the crash before: what fails together counts once. A crash counts only if it
 // is distinct from all earlier ones that count.
-func successive(crashes []*crash, distinct func(a, b *crash) bool) []*crash {
+func successive(crashes []*crash, distinct func(earlier, c *crash) bool) []*crash {
 	var list []*crash
 	for _, c := range crashes {
 		if len(list) > 0 && !c.begunAfter(list[len(list)-1]) {
 			continue
 		}
-		if !slices.ContainsFunc(list, func(o *crash) bool { return !distinct(o, c) }) {
+		if !slices.ContainsFunc(list, func(earlier *crash) bool { return !distinct(earlier, c) }) {
 			list = append(list, c)
 		}
 	}
--- a/gateway/quarantine/quarantine_test.go
+++ b/gateway/quarantine/quarantine_test.go
@@ -294,6 +294,21 @@
 	}
 }
 
+// Guards against refusing the parts of sound requests that are sent on kept connections of
+// servers which have crashed already: each of them breaks as well.
+func TestShouldRefuse_ServerThatIsDownCountsOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2)
+	for n := range uint64(20) {
+		r := starting(n, first, sound)
+		r.Server, r.SentAt = uint32(n%2), f.now
+		f.now = f.now.Add(50 * time.Millisecond)
+		f.daemons[n/2%2].RecordCrash(&r)
+		f.gossip()
+		is.Equal(f.refusing(first, sound), 0)
+	}
+}
+
 // Servers that go on listening may only lose responses, so it takes more of them, and
 // they must be of several requests on several servers.
 func TestShouldRefuse_RunsLostByListeningServers(t *testing.T) {
