quarantine: a part isn't banned while a rarer one may be the cause

What callers saw, in a soak of four gateways before two servers: both servers crashed twice, by one request that was retried on the other and by another that came as soon as they were back.

Cause: four crashes in a row had the first part at the start of a run and no run in between that did well, as the servers were hardly up. The part that caused them had the same record, but the daemon that decided had not received the reports of its last two runs yet. For this case one crash more was demanded, which covers one missing report, not two.

What was ruled out: a longer threshold alone (in the rule's limits there is room for one).

Change: before a part is banned, other parts on the same servers are considered that at most half as many requests have. If one of them was on all of these servers but one, leaving out crashes of the last second, whose reports may still arrive, it is the likelier cause, and its ban costs less.

--- a/gateway/quarantine/crash.go
+++ b/gateway/quarantine/crash.go
@@ -151,7 +151,8 @@
 // banned together: only requests with all of them are refused. t.mu is held.
 func (t *Table) judgeParts(latest *crash, known explanation) {
 	for _, p := range slices.Backward(latest.Parts) {
-		if s := t.evidence(p, known); s != nil {
+		s := t.evidence(p, known)
+		if s != nil && !t.rarerCause(p, s) {
 			t.ban(Ban{Parts: t.commonParts(s)}, latest.at, len(s))
 			return
 		}
@@ -194,24 +195,75 @@
 // the crashed runs have, or that did no harm since, are left out. t.mu is held.
 func (t *Table) mostByAnotherPart(part uint64, crashes []*crash) int {
 	common := t.commonParts(crashes)
-	servers := make(map[uint64]map[uint32]bool) // by part
 	most := 0
+	for p, runs := range t.startsOn(crashes) {
+		if p != part && !slices.Contains(common, p) {
+			most = max(most, len(runs.servers))
+		}
+	}
+	return most
+}
+
+const (
+	// reportTime is within which the daemons have received each other's reports of a
+	// crash.
+	reportTime = time.Second
+	// minUnexplained is the number of crashes without a part that show that it is not
+	// the cause of all.
+	minUnexplained = 2
+)
+
+// rarerCause reports whether another part, which at most half as many requests have, may
+// have caused these crashes: as far as all reports must have arrived, it was at the start
+// of a run on the same servers. t.mu is held.
+func (t *Table) rarerCause(part uint64, crashes []*crash) bool {
+	starts := t.startsOn(crashes)
+	common := t.commonParts(crashes)
+	now := t.now()
+	for q, runs := range starts {
+		if slices.Contains(common, q) || 2*len(runs.requests) > len(starts[part].requests) {
+			continue
+		}
+		unexplained := 0
+		for _, c := range crashes {
+			if !runs.servers[c.Server] && now.Sub(c.at) >= reportTime {
+				unexplained++
+			}
+		}
+		if len(runs.servers) >= minUnexplained && unexplained < minUnexplained {
+			return true
+		}
+	}
+	return false
+}
+
+// starts are the crashed runs that had a part at their start.
+type starts struct {
+	requests map[uint64]bool // by fingerprint
+	servers  map[uint32]bool // by tag
+}
+
+// startsOn returns the runs on the servers of the crashes, by part. Parts that did no
+// harm since are left out. t.mu is held.
+func (t *Table) startsOn(crashes []*crash) map[uint64]starts {
+	byPart := make(map[uint64]starts)
 	for _, c := range t.crashes {
 		if !c.AtStart || !onServers(c, crashes) {
 			continue
 		}
 		for _, p := range c.Parts {
-			if p == part || slices.Contains(common, p) || !c.at.After(t.sound[p]) {
+			if !c.at.After(t.sound[p]) {
 				continue
 			}
-			if servers[p] == nil {
-				servers[p] = make(map[uint32]bool)
+			s, ok := byPart[p]
+			if !ok {
+				s = starts{requests: make(map[uint64]bool), servers: make(map[uint32]bool)}
+				byPart[p] = s
 			}
-			servers[p][c.Server] = true
-			most = max(most, len(servers[p]))
+			s.requests[c.Fingerprint], s.servers[c.Server] = true, true
 		}
 	}
-	return most
+	return byPart
 }
 
 // onServers reports whether a run was on one of the servers of the crashes.
--- a/gateway/quarantine/quarantine_test.go
+++ b/gateway/quarantine/quarantine_test.go
@@ -309,6 +309,37 @@
 	}
 }
 
+// Guards against refusing the first part of all requests because the servers of a small
+// service all crash, twice, as soon as they are back: a request that crashes one of them is
+// retried on the other, and some reports of its runs arrive after those of sound ones.
+func TestShouldRefuse_SparesFirstPartIfAllServersCrashTwice(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4)
+	crash := func(server uint32, runs ...Run) { // run n is observed by daemon n
+		sent := f.now
+		f.now = f.now.Add(2 * time.Millisecond)
+		for daemon, r := range runs {
+			r.Server, r.SentAt = server, sent
+			f.daemons[daemon].RecordCrash(&r)
+		}
+	}
+	for n := range uint64(2) {
+		bystanders := []Run{starting(10+n, first, sound), starting(20+n, first, sound), starting(30+n, first, other)}
+		runs := append(bystanders, starting(n, first, bad))
+		crash(uint32(100+2*n), runs...)
+		crash(uint32(101+2*n), runs...)
+		is.Equal(f.refusing(first, sound), 0) // only daemon 3 has observed the run with the part
+		f.gossip()
+		is.Equal(f.refusing(first, sound), 0)
+		f.now = f.now.Add(1100 * time.Millisecond)
+		f.gossip()
+	}
+	f.crash(starting(9, first, bad))
+	f.gossip()
+	is.Equal(f.refusing(first, sound), 0)
+	is.Equal(f.refusing(first, bad), 4)
+}
+
 // Servers that go on listening may only lose responses, so it takes more of them, and
 // they must be of several requests on several servers.
 func TestShouldRefuse_RunsLostByListeningServers(t *testing.T) {
--- /dev/null
+++ b/tests/soak/crash_test.go
@@ -0,0 +1,161 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"cassialatch.dev/standin/runner"
+)
+
+const (
+	// crashPart is the part of prompts that crashes each server.
+	crashPart = "66"
+	// contact is how long after the fifth crash, or after a fault of its own, a daemon
+	// must refuse requests with the part.
+	contact = 3 * time.Second
+	// maxAfterContact is the number of requests with the part that may still be sent.
+	maxAfterContact = 3
+	// crashSoakLength is the time for which such requests come.
+	crashSoakLength = 12 * time.Second
+	// minSound is the number of sound requests below which their share says nothing.
+	minSound = 20
+)
+
+// crashSoak holds what happens while requests with crashPart come.
+type crashSoak struct {
+	*fleet
+	workers    bool // only a worker crashes, behind a server that goes on listening
+	bad, sound resultList
+
+	mu      sync.Mutex
+	crashes []time.Time
+}
+
+// Guards against requests that share a part of their prompts which crashes servers, no
+// two alike and at all daemons: they must stop reaching servers, though daemons are
+// killed, and sound requests with the same key and other parts must be served.
+func TestSoak_CrashingPart(t *testing.T) {
+	start := *firstSeed
+	if start == 0 {
+		start = rand.Uint64N(1 << 32)
+	}
+	for i := range uint64(*seeds) {
+		t.Run(fmt.Sprint("seed=", start+i), func(t *testing.T) {
+			t.Parallel()
+			runCrashSeed(t, start+i, crashSlots+int(i))
+		})
+	}
+}
+
+// crashSlots is the first slot of the fleets of TestSoak_CrashingPart.
+const crashSlots = 150
+
+func runCrashSeed(t *testing.T, seed uint64, slot int) {
+	s := &crashSoak{fleet: newFleet(t, binary, slot, 4*time.Second), workers: seed%2 == 0}
+	s.crash = s.recordCrash
+	const startTimeout = 20 * time.Second
+	if !s.awaitReady(startTimeout) {
+		t.Fatal("the fleet did not become ready")
+	}
+	ctx, stop := context.WithTimeout(t.Context(), crashSoakLength)
+	defer stop()
+	var wg sync.WaitGroup
+	for i := range *callers {
+		rng := rand.New(rand.NewPCG(seed, uint64(i)))
+		c := newCaller(s.fleet, fmt.Sprint("sound", i), rng, &s.sound)
+		c.prompt = func(id string) string { return fmt.Sprintf("1:100,%d:50,%s:10", 7+rng.IntN(3), id) }
+		wg.Go(func() { s.sendStreams(ctx, c, 20*time.Millisecond) })
+	}
+	c := newCaller(s.fleet, "bad", rand.New(rand.NewPCG(seed, badStream)), &s.bad)
+	c.prompt = func(id string) string { return fmt.Sprintf("1:100,%s:50,%s:10", crashPart, id) }
+	wg.Go(func() { s.sendStreams(ctx, c, 300*time.Millisecond) })
+	wg.Go(func() { s.killDaemons(ctx, rand.New(rand.NewPCG(seed, killStream))) })
+	wg.Wait()
+	s.check()
+}
+
+// sendStreams sends streams with the fleet's first key, with pauses of at most twice
+// the given mean, until the context ends.
+func (s *crashSoak) sendStreams(ctx context.Context, c *caller, pause time.Duration) {
+	defer c.client.CloseIdleConnections()
+	for n := 0; ctx.Err() == nil; n++ {
+		c.sendOnce(ctx, fmt.Sprintf("%s-%d", c.name, n), "stream", s.keys[0])
+		time.Sleep(time.Duration(c.rng.Int64N(int64(2 * pause))))
+	}
+}
+
+// recordCrash lets a server crash because of a request with the part. It starts again
+// after a while, unless it was only a worker.
+func (s *crashSoak) recordCrash(crashed *server) {
+	s.mu.Lock()
+	s.crashes = append(s.crashes, time.Now())
+	s.mu.Unlock()
+	crashed.mu.Lock()
+	defer crashed.mu.Unlock()
+	if s.workers {
+		crashed.proxy.reset()
+		return
+	}
+	crashed.proxy.close()
+	incarnation := crashed.handler
+	const downTime = time.Second
+	time.AfterFunc(downTime, func() { crashed.replace(incarnation) })
+}
+
+// killDaemons kills one daemon after another until the context ends.
+func (s *crashSoak) killDaemons(ctx context.Context, rng *rand.Rand) {
+	for ctx.Err() == nil {
+		d := s.daemons[rng.IntN(len(s.daemons))]
+		end := s.disturbances.begin(d.ip)
+		d.signal(syscall.SIGKILL)
+		time.Sleep(killSettleTime)
+		end()
+		time.Sleep(time.Duration(rng.IntN(2000)) * time.Millisecond)
+	}
+}
+
+// check checks that requests with the part no longer reach servers, and that others are
+// served.
+func (s *crashSoak) check() {
+	const decisive = 5 // crashes after which requests with the part must not be sent
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.crashes) == 0 {
+		s.t.Fatal("no request with the part reached a server")
+	}
+	settled := s.crashes[min(len(s.crashes), decisive)-1].Add(contact)
+	late := 0
+	s.eachRun(s.bad.all, s.ledger.Runs, func(r *result, run runner.Run) {
+		if run.Start.After(settled) && len(s.crashes) >= decisive && s.inContact(r, run.Start) {
+			late++
+		}
+	})
+	sent, served := 0, 0
+	for _, r := range s.sound.all {
+		if r.sent.Before(settled.Add(contact)) || !s.inContact(&r, r.ended) {
+			continue
+		}
+		sent++
+		if r.status == 200 {
+			served++
+		}
+	}
+	s.t.Logf("%d crashes, %d requests with the part later; %d of %d sound requests served", len(s.crashes), late, served, sent)
+	if late > maxAfterContact {
+		s.t.Errorf("%d requests with the part reached servers later than %v after crash %d", late, contact, decisive)
+	}
+	if sent < minSound || 2*served < sent {
+		s.t.Errorf("%d of %d sound requests served", served, sent)
+	}
+}
+
+// inContact reports whether the daemon of a request was undisturbed for the time of
+// contact before the given moment.
+func (s *crashSoak) inContact(r *result, at time.Time) bool {
+	return !s.disturbances.disturbed(r.daemon, at.Add(-contact), at)
+}
