tests/soak: requests with a part of their prompts that crashes servers

The new soak runs the real programs: requests with one part in common, no two alike, crash each server that begins to respond, or only a worker behind it, while daemons are killed. From three seconds after the fifth crash at most three more may be sent by daemons that were undisturbed; of the sound requests with the same key and other parts at least half must be served.

--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -85,7 +85,12 @@
 type Runner struct {
 	ID     string
 	Ledger *Ledger
-	mode   atomic.Int32
+	// CrashPart is the ID of a part of prompts. When the runner begins to respond to a
+	// request with this part, it calls Crash and breaks off. Empty: never.
+	CrashPart string
+	Crash     func()
+
+	mode atomic.Int32
 }
 
 // SetMode sets the mode. A new Runner is in mode Serving.
@@ -134,6 +139,10 @@
 		return
 	}
 	r.Ledger.recordRun(id, r.ID)
+	if r.crashes(req) {
+		r.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	h.Set("Cassialatch-Response-Signature", r.ID+"."+id)
 	switch {
 	case strings.HasPrefix(req.URL.Path, "/stream/"):
@@ -147,6 +156,19 @@
 	fmt.Fprint(w, Body(id))
 }
 
+// crashes reports whether the prompt of a request has the part CrashPart.
+func (r *Runner) crashes(req *http.Request) bool {
+	if r.CrashPart == "" {
+		return false
+	}
+	for part := range strings.SplitSeq(req.Header.Get("Cassialatch-Prompt-Prefix"), ",") {
+		if id, _, _ := strings.Cut(part, ":"); id == r.CrashPart {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *Runner) stream(w http.ResponseWriter, req *http.Request, id string, pause time.Duration) {
 	after := 0
 	if last := req.Header.Get("Last-Event-Id"); last != "" {
--- a/tests/soak/caller_test.go
+++ b/tests/soak/caller_test.go
@@ -70,6 +70,8 @@
 	rng      *rand.Rand
 	results  *resultList
 	deadline time.Duration // the deadline that it sends with each request
+	// prompt returns the parts of a request's prompt; nil: requests have no prompt.
+	prompt func(id string) string
 	// choose returns the address to send the next request to, or "" if there is none.
 	choose func(ctx context.Context) string
 	// do sends a request and returns the response, as http.Client.Do does.
@@ -153,6 +155,9 @@
 	if r.kind == slowStream {
 		req.Header.Set("Cassialatch-Token-Usage", fmt.Sprint("0,", slowTokens))
 	}
+	if c.prompt != nil {
+		req.Header.Set("Cassialatch-Prompt-Prefix", c.prompt(r.id))
+	}
 	req.Header.Set("Cassialatch-Tenant", "forged") // only gateways may set this header
 	r.passed = time.Now()
 	r.posted = r.passed
--- a/tests/soak/crash_test.go
+++ b/tests/soak/crash_test.go
@@ -40,20 +40,14 @@
 // two alike and at all daemons: they must stop reaching servers, though daemons are
 // killed, and sound requests with the same key and other parts must be served.
 func TestSoak_CrashingPart(t *testing.T) {
-	start := *firstSeed
-	if start == 0 {
-		start = rand.Uint64N(1 << 32)
-	}
-	for i := range uint64(*seeds) {
-		t.Run(fmt.Sprint("seed=", start+i), func(t *testing.T) {
-			t.Parallel()
-			runCrashSeed(t, start+i, crashSlots+int(i))
-		})
-	}
+	const firstSlot = 100 // above those of TestSoak
+	runSeeds(t, crashRegressions, firstSlot, runCrashSeed)
 }
 
-// crashSlots is the first slot of the fleets of TestSoak_CrashingPart.
-const crashSlots = 150
+var crashRegressions = []regression{
+	{109, "all servers crashed twice, and the reports of the runs with the part arrived last; the part that all requests share was refused"},
+	{111, "as 109"},
+}
 
 func runCrashSeed(t *testing.T, seed uint64, slot int) {
 	s := &crashSoak{fleet: newFleet(t, binary, slot, 4*time.Second), workers: seed%2 == 0}
--- a/tests/soak/fleet_test.go
+++ b/tests/soak/fleet_test.go
@@ -65,6 +65,7 @@
 	grace   time.Duration // of all daemons, between SIGTERM and SIGKILL
 
 	disturbances disturbances
+	crash        func(*server) // called when a prompt with crashPart crashes a server
 
 	mu         sync.Mutex
 	version    int64
@@ -311,7 +312,8 @@
 		s.f.store.Delete("servers/" + s.handler.ID)
 	}
 	s.incarnation++
-	s.handler = &runner.Runner{ID: fmt.Sprintf("i-%p-%d", s, s.incarnation), Ledger: s.f.ledger}
+	s.handler = &runner.Runner{ID: fmt.Sprintf("i-%p-%d", s, s.incarnation), Ledger: s.f.ledger,
+		CrashPart: crashPart, Crash: func() { s.f.crash(s) }}
 	s.http = httptest.NewServer(s.handler)
 	s.proxy = newProxy(s.f.t, strings.TrimPrefix(s.http.URL, "http://"))
 	s.register()
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -31,12 +31,13 @@
 	persistentCallers = flag.Int("soak.persistent", 160, "number of callers for each seed that keep a connection with long pauses")
 )
 
-// regressions are seeds that failed in the past, each with the cause. They run in
-// addition to the seeds that the flags select.
-var regressions = []struct {
+// regression is a seed that failed in the past, with the cause.
+type regression struct {
 	seed  uint64
 	cause string
-}{
+}
+
+var regressions = []regression{
 	{2, "SIGHUP arrived before a starting process had installed its signal handler, and terminated it"},
 	{140, "all daemons drained at once; callers had their connections refused, which the check counted as broken responses"},
 	{423, "a paused daemon read a request 2.3 s after its caller had started it, when the key was already revoked; the check used the start time"},
@@ -72,25 +73,30 @@
 // its revocation, that no caller gets a response with a wrong body, that servers which
 // leave or ask for a pause are left alone, and that the fleet recovers after the faults.
 func TestSoak(t *testing.T) {
+	const firstSlot = 1
+	runSeeds(t, regressions, firstSlot, runSeed)
+}
+
+// runSeeds runs the seeds that failed in the past and those that the flags select, each
+// with a slot of its own from firstSlot on.
+func runSeeds(t *testing.T, regressions []regression, firstSlot int, run func(t *testing.T, seed uint64, slot int)) {
+	var all []uint64
+	for _, r := range regressions {
+		all = append(all, r.seed)
+	}
 	start := *firstSeed
 	if start == 0 {
 		start = rand.Uint64N(1 << 32)
 	}
-	slot := 0
-	run := func(seed uint64) {
-		slot++
-		seedSlot := slot
+	for i := range uint64(*seeds) {
+		all = append(all, start+i)
+	}
+	for i, seed := range all {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, seed, seedSlot)
+			run(t, seed, firstSlot+i)
 		})
 	}
-	for _, r := range regressions {
-		run(r.seed)
-	}
-	for i := range uint64(*seeds) {
-		run(start + i)
-	}
 }
 
 // runSeed runs a fleet with the faults of one seed and checks it. The slot selects
@@ -137,6 +143,8 @@
 	changesStream    = 1000
 	idleStream       = 1001
 	modeStream       = 1002
+	badStream        = 1003
+	killStream       = 1004
 	persistentStream = 2000
 )
 
