tests/soak: versions of the configuration while the store and daemons fail

Each version adds a route and a key, while the store rejects, falls silent or loses its history, connections to it stall, and daemons freeze and are killed. No fault excuses a 401 or 404 more than configApplyMs after the store had acknowledged the version; a daemon that has served a version must not go back to an older one; after the faults all daemons serve the last one. The daemons of all soaks get the setting configApplyMs, as on the users' platform; before, the soaks ran without the bound on final refusals.

--- a/tests/soak/fleet_test.go
+++ b/tests/soak/fleet_test.go
@@ -32,6 +32,8 @@
 const (
 	// revokeBound is the time after which a revoked key must not be accepted.
 	revokeBound = 5 * time.Second
+	// applyBound is the time after which a configuration must be in force.
+	applyBound = 2 * time.Second
 	// routeTimeout is the timeout of all routes but slowStream, which has slowTimeout.
 	routeTimeout = 3 * time.Second
 	slowTimeout  = 8 * time.Second
@@ -70,6 +72,7 @@
 	mu         sync.Mutex
 	version    int64
 	keys       []string // valid keys of the published configuration
+	added      []string // names of routes that were added to those of all fleets
 	idleTimeMS int      // idle timeout of callers' connections in the published configuration
 }
 
@@ -150,7 +153,7 @@
 		"seeds":     []string{seed},
 		"limits":    map[string]any{"cpuShare": 0.4, "cores": 1, "memoryMb": 284},
 		"bounds": map[string]any{"graceS": grace.Seconds(), "failClosed": true, "revokeMs": revokeBound.Milliseconds(),
-			"retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 58},
+			"configApplyMs": applyBound.Milliseconds(), "retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 58},
 		"platform": map[string]string{"address": store.address()},
 	})
 	if err != nil {
@@ -348,11 +351,15 @@
 		return fmt.Sprintf(`{"name":%q,"host":"soak.example","pathPrefix":"/%s/","type":%q,"timeoutMs":%d,"service":%q,"maxAttempts":%d,"resumable":%t}`,
 			name, name, kind, timeout.Milliseconds(), service, attempts, kind == "streaming")
 	}
-	doc := fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s,%s],"services":[{"name":"models","maxConns":200},{"name":"plain","maxConns":200}],
+	added := ""
+	for _, name := range f.added {
+		added += "," + route(name, "safe", "plain", 2, routeTimeout)
+	}
+	doc := fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s,%s%s],"services":[{"name":"models","maxConns":200},{"name":"plain","maxConns":200}],
 		"limits":{"maxBodyBytes":65536,"idleTimeoutMs":%d},"tenants":[{"name":"w","apiKeys":%s}]}`, f.version,
 		route("safe", "safe", "plain", 2, routeTimeout), route("unsafe", "unsafe", "plain", 2, routeTimeout),
 		route("stream", "streaming", "models", 3, routeTimeout),
-		route(slowStream, "streaming", "models", 3, slowTimeout), f.idleTimeMS, keys)
+		route(slowStream, "streaming", "models", 3, slowTimeout), added, f.idleTimeMS, keys)
 	f.store.Put("op/config", []byte(doc))
 }
 
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -145,6 +145,7 @@
 	modeStream       = 1002
 	badStream        = 1003
 	killStream       = 1004
+	changeStream     = 1005
 	persistentStream = 2000
 )
 
