quarantine: daemons tell each other which suspected requests ran to their end

What callers would see: a popular request, which servers answer all the while, is refused for a minute if some crashes that interrupt it, and its successes, are seen by different daemons.

Cause: daemons share the crashes of a request, but each cleared them by its own runs only.

Evidence: the new test, a crash and a success a minute, seen by three daemons in turn, on the code before: refused after the fourth.

Change: the time of the latest run to the end is shared like those of parts that did no harm, for requests that more than one crash has interrupted, at most eight in a message.

--- a/gateway/quarantine/crash.go
+++ b/gateway/quarantine/crash.go
@@ -22,9 +22,8 @@
 // crash is a run that was interrupted by a crash, as observed by some daemon.
 type crash struct {
 	Run
-	at             time.Time
-	local          bool // observed by this daemon
-	completedSince bool // the same request has run to its end since
+	at    time.Time
+	local bool // observed by this daemon
 }
 
 // RecordCrash records a run of this daemon that a crash has interrupted.
--- a/gateway/quarantine/gossip.go
+++ b/gateway/quarantine/gossip.go
@@ -13,9 +13,10 @@
 
 	// The most recent are sent in each message; of crashes first those at the start
 	// of a run.
-	maxSentCrashes = 16
-	maxSentBans    = 16
-	maxSentSound   = 16
+	maxSentCrashes   = 16
+	maxSentBans      = 16
+	maxSentSound     = 16
+	maxSentCompleted = 8
 )
 
 // News is what daemons send each other about crashes. Times are ages, in
@@ -25,6 +26,8 @@
 	Crashes []Crash
 	Bans    []Ban
 	Sound   []SoundPart
+	// Completed are requests that were interrupted by more than one crash.
+	Completed []CompletedRequest
 }
 
 // Crash is a run that was interrupted by a crash.
@@ -56,6 +59,13 @@
 	AgeMS int64
 }
 
+// CompletedRequest is a request that has run to its end.
+type CompletedRequest struct {
+	_           struct{} `cbor:",toarray"`
+	Fingerprint uint64
+	AgeMS       int64
+}
+
 // covers reports whether the ban applies to a request.
 func (b *Ban) covers(fingerprint uint64, parts []uint64) bool {
 	if len(b.Parts) == 0 {
@@ -102,9 +112,30 @@
 		n.Sound = append(n.Sound, SoundPart{Part: p, AgeMS: now.Sub(at).Milliseconds()})
 	}
 	n.Sound = mostRecent(n.Sound, maxSentSound, func(s SoundPart) int64 { return s.AgeMS })
+	n.Completed = mostRecent(t.completedSuspects(), maxSentCompleted, func(c CompletedRequest) int64 { return c.AgeMS })
 	return n
 }
 
+// completedSuspects returns the requests that have run to their end although several
+// crashes have interrupted them. t.mu is held.
+func (t *Table) completedSuspects() []CompletedRequest {
+	if len(t.completed) == 0 {
+		return nil
+	}
+	now := t.now()
+	runs := make(map[uint64]int) // interrupted ones
+	for _, c := range t.crashes {
+		runs[c.Fingerprint]++
+	}
+	var list []CompletedRequest
+	for fingerprint, at := range t.completed {
+		if runs[fingerprint] > 1 {
+			list = append(list, CompletedRequest{Fingerprint: fingerprint, AgeMS: now.Sub(at).Milliseconds()})
+		}
+	}
+	return list
+}
+
 // mostRecent returns the n elements with the lowest ages.
 func mostRecent[T any](all []T, n int, age func(T) int64) []T {
 	slices.SortFunc(all, func(a, b T) int { return cmp.Compare(age(a), age(b)) })
@@ -121,6 +152,9 @@
 	for _, s := range n.Sound {
 		t.setSound(s.Part, ago(s.AgeMS), relayDrift)
 	}
+	for _, c := range n.Completed {
+		t.setCompleted(c.Fingerprint, ago(c.AgeMS), relayDrift)
+	}
 	for _, b := range n.Bans {
 		t.ban(b, ago(b.AgeMS), 0)
 	}
--- a/gateway/quarantine/judge.go
+++ b/gateway/quarantine/judge.go
@@ -10,7 +10,7 @@
 func (t *Table) judgeRequest(latest *crash, known explanation) {
 	var suspects []*crash
 	for _, c := range t.crashes {
-		if c.Fingerprint == latest.Fingerprint && !c.completedSince && !known.covers(c) {
+		if c.Fingerprint == latest.Fingerprint && c.at.After(t.completed[c.Fingerprint]) && !known.covers(c) {
 			suspects = append(suspects, c)
 		}
 	}
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -13,6 +13,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -49,6 +50,8 @@
 	maxCrashes = 512 // in a table
 	maxBans    = 64  // in a table
 	maxSound   = 4 * maxCrashes
+	// maxCompleted is the number of requests whose runs to the end are remembered.
+	maxCompleted = maxCrashes
 )
 
 // Subject is what a request can be recognised by.
@@ -85,10 +88,11 @@
 	// Log may be nil. It must be set before use.
 	Log Log
 
-	mu      sync.Mutex
-	crashes map[uint64]*crash // by ID
-	bans    []*ban
-	sound   map[uint64]time.Time // latest run in which a part did no harm, for parts of crashes and bans
+	mu        sync.Mutex
+	crashes   map[uint64]*crash // by ID
+	bans      []*ban
+	sound     map[uint64]time.Time // latest run in which a part did no harm, for parts of crashes and bans
+	completed map[uint64]time.Time // latest run to the end of a request, by fingerprint, for those of crashes
 }
 
 // ban is a Ban with the time of the latest crash that it explains.
@@ -99,7 +103,7 @@
 
 // New returns an empty table.
 func New(now func() time.Time) *Table {
-	return &Table{now: now, crashes: make(map[uint64]*crash), sound: make(map[uint64]time.Time)}
+	return &Table{now: now, crashes: make(map[uint64]*crash), sound: make(map[uint64]time.Time), completed: make(map[uint64]time.Time)}
 }
 
 // ShouldRefuse reports whether a request must not run, or not run again.
@@ -133,11 +137,22 @@
 	defer t.mu.Unlock()
 	for _, c := range t.crashes {
 		if c.Fingerprint == s.Fingerprint {
-			c.completedSince = true
+			t.setCompleted(s.Fingerprint, t.now(), 0)
+			return
 		}
 	}
 }
 
+// setCompleted records that a request ran to its end at the given time, unless that is
+// known of a time that is less than minLater earlier. t.mu is held.
+func (t *Table) setCompleted(fingerprint uint64, at time.Time, minLater time.Duration) {
+	known, ok := t.completed[fingerprint]
+	if !ok && len(t.completed) >= maxCompleted || at.Sub(known) < minLater {
+		return
+	}
+	t.completed[fingerprint] = at
+}
+
 // suspected reports whether a part belongs to a crash or a ban. t.mu is held.
 func (t *Table) suspected(part uint64) bool {
 	for _, c := range t.crashes {
@@ -201,11 +216,9 @@
 		}
 	}
 	t.bans = slices.DeleteFunc(t.bans, func(b *ban) bool { return !b.active(now) })
-	for p, at := range t.sound {
-		if now.Sub(at) >= crashTTL {
-			delete(t.sound, p)
-		}
-	}
+	old := func(_ uint64, at time.Time) bool { return now.Sub(at) >= crashTTL }
+	maps.DeleteFunc(t.sound, old)
+	maps.DeleteFunc(t.completed, old)
 }
 
 // active reports whether the ban applies at the given time.
--- a/gateway/quarantine/quarantine_test.go
+++ b/gateway/quarantine/quarantine_test.go
@@ -111,6 +111,22 @@
 	is.True(x.ShouldRefuse(&r.Subject))
 }
 
+// Guards against refusing a request that servers answer all the while, because its few
+// crashes and its successes are seen by different daemons.
+func TestRecordCompleted_ClearsCountsOfAllDaemons(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3)
+	for n := range 3 * requestThreshold {
+		f.crash(starting(7))
+		for _, d := range f.daemons {
+			is.True(!d.ShouldRefuse(&Subject{Fingerprint: 7}))
+		}
+		f.daemons[n%3].RecordCompleted(&Subject{Fingerprint: 7})
+		f.now = f.now.Add(time.Minute)
+		f.gossip()
+	}
+}
+
 // Load pattern: many different requests are interrupted by a mass crash of
 // servers. The table and the message to peers keep their maximum size.
 func TestRecordCrash_LimitsTableSize(t *testing.T) {
@@ -120,12 +136,15 @@
 		r := starting(i, i)
 		x.RecordCrash(&r)
 		x.RecordSound(&r.Subject)
+		x.RecordCompleted(&r.Subject)
 	}
 	is.True(len(x.crashes) <= maxCrashes)
 	is.True(len(x.sound) <= maxSound)
+	is.True(len(x.completed) <= maxCompleted)
 	news := x.News()
 	is.True(len(news.Crashes) <= maxSentCrashes)
 	is.True(len(news.Sound) <= maxSentSound)
+	is.True(len(news.Completed) <= maxSentCompleted)
 }
 
 // Guards against requests with different content that share a part which crashes each
