quarantine: one pass decides whether crashes suffice to ban a part

Three functions each collected the runs on the crashed servers. The soak prints the status of the sound requests.

--- a/gateway/quarantine/judge.go
+++ b/gateway/quarantine/judge.go
@@ -24,8 +24,7 @@
 // banned together: only requests with all of them are refused. t.mu is held.
 func (t *Table) judgeParts(latest *crash, known explanation) {
 	for _, p := range slices.Backward(latest.Parts) {
-		s := t.evidence(p, known)
-		if s != nil && !t.rarerCause(p, s) {
+		if s := t.evidence(p, known); s != nil {
 			t.ban(Ban{Parts: t.commonParts(s)}, latest.at, len(s))
 			return
 		}
@@ -43,40 +42,16 @@
 	}
 	sortByTime(suspects)
 	down := successive(serversDown(suspects), func(a, b *crash) bool { return a.Server != b.Server })
-	if len(down) >= t.required(partThreshold, part, down) && t.otherRequests(down) >= minOtherRequests {
+	if t.suffice(down, partThreshold, part) && t.otherRequests(down) >= minOtherRequests {
 		return down
 	}
 	lost := successive(suspects, func(a, b *crash) bool { return a.Fingerprint != b.Fingerprint && !stillDown(a, b) })
-	if len(lost) >= t.required(lostThreshold, part, lost) && numServers(lost) >= minLostServers {
+	if t.suffice(lost, lostThreshold, part) && numServers(lost) >= minLostServers {
 		return lost
 	}
 	return nil
 }
 
-// required returns how many crashes it takes to ban a part: the threshold, or one more
-// if another part was on all of their servers but one. That part may be the cause, in a
-// run on the remaining server that has not been reported yet. t.mu is held.
-func (t *Table) required(threshold int, part uint64, crashes []*crash) int {
-	if len(crashes) >= threshold && t.mostByAnotherPart(part, crashes) >= threshold-1 {
-		return threshold + 1
-	}
-	return threshold
-}
-
-// mostByAnotherPart returns on how many of the servers of these crashes another part
-// was at the start of a run, for the part for which these are most. Parts that all of
-// the crashed runs have, or that did no harm since, are left out. t.mu is held.
-func (t *Table) mostByAnotherPart(part uint64, crashes []*crash) int {
-	common := t.commonParts(crashes)
-	most := 0
-	for p, runs := range t.startsOn(crashes) {
-		if p != part && !slices.Contains(common, p) {
-			most = max(most, len(runs.servers))
-		}
-	}
-	return most
-}
-
 const (
 	// reportTime is within which the daemons have received each other's reports of a
 	// crash.
@@ -86,28 +61,43 @@
 	minUnexplained = 2
 )
 
-// rarerCause reports whether another part, which at most half as many requests have, may
-// have caused these crashes: as far as all reports must have arrived, it was at the start
-// of a run on the same servers. t.mu is held.
-func (t *Table) rarerCause(part uint64, crashes []*crash) bool {
+// suffice reports whether the crashes, which all have the part, are enough to ban it. It
+// takes the threshold, or one more if another part was on all of their servers but one:
+// that part may be the cause, in a run that has not been reported yet. And no part that
+// at most half as many requests have may be the cause. t.mu is held.
+func (t *Table) suffice(crashes []*crash, threshold int, part uint64) bool {
+	if len(crashes) < threshold {
+		return false
+	}
 	byPart := t.startsOn(crashes)
 	common := t.commonParts(crashes)
-	now := t.now()
 	for other, runs := range byPart {
-		if slices.Contains(common, other) || 2*len(runs.requests) > len(byPart[part].requests) {
+		if other == part || slices.Contains(common, other) {
 			continue
 		}
-		unexplained := 0
-		for _, c := range crashes {
-			if !runs.servers[c.Server] && now.Sub(c.at) >= reportTime {
-				unexplained++
-			}
+		if len(crashes) == threshold && len(runs.servers) >= threshold-1 {
+			return false
+		}
+		rarer := 2*len(runs.requests) <= len(byPart[part].requests)
+		if rarer && t.mayExplain(runs, crashes) {
+			return false
 		}
-		if len(runs.servers) >= minUnexplained && unexplained < minUnexplained {
-			return true
+	}
+	return true
+}
+
+// mayExplain reports whether the part of the runs may have caused the crashes: it was on
+// several of their servers, and on all but one of those where all runs have been
+// reported. t.mu is held.
+func (t *Table) mayExplain(runs starts, crashes []*crash) bool {
+	now := t.now()
+	unexplained := 0
+	for _, c := range crashes {
+		if !runs.servers[c.Server] && now.Sub(c.at) >= reportTime {
+			unexplained++
 		}
 	}
-	return false
+	return len(runs.servers) > 1 && unexplained < minUnexplained
 }
 
 // starts are the crashed runs that had a part at their start.
--- a/tests/soak/crash_test.go
+++ b/tests/soak/crash_test.go
@@ -130,16 +130,18 @@
 		}
 	})
 	sent, served := 0, 0
+	statuses := make(map[int]int) // of the sound requests
 	for _, r := range s.sound.all {
 		if r.sent.Before(settled.Add(contact)) || !s.inContact(&r, r.ended) {
 			continue
 		}
 		sent++
+		statuses[r.status]++
 		if r.status == 200 {
 			served++
 		}
 	}
-	s.t.Logf("%d crashes, %d requests with the part later; %d of %d sound requests served", len(s.crashes), late, served, sent)
+	s.t.Logf("%d crashes, %d requests with the part later; %d of %d sound requests served, by status: %v", len(s.crashes), late, served, sent, statuses)
 	if late > maxAfterContact {
 		s.t.Errorf("%d requests with the part reached servers later than %v after crash %d", late, contact, decisive)
 	}
