quarantine: what a rarer part explains are crashes, not servers

Cause: a rarer part of the prompts spares another one if it was on the same servers. A server that goes on listening keeps its identity, so a sound part that was interrupted once on each of the two seemed to explain every crash of them from then on.

Change: a part explains a crash if that very crash interrupted a run with it. The same goes for the requests of which at least two must be involved.

--- a/gateway/quarantine/judge.go
+++ b/gateway/quarantine/judge.go
@@ -62,7 +62,7 @@
 )
 
 // suffice reports whether the crashes, which all have the part, are enough to ban it. It
-// takes the threshold, or one more if another part was on all of their servers but one:
+// takes the threshold, or one more if all but one interrupted runs with another part, too:
 // that part may be the cause, in a run that has not been reported yet. And no part that
 // at most half as many requests have may be the cause. t.mu is held.
 func (t *Table) suffice(crashes []*crash, threshold int, part uint64) bool {
@@ -75,7 +75,7 @@
 		if other == part || slices.Contains(common, other) {
 			continue
 		}
-		if len(crashes) == threshold && len(runs.servers) >= threshold-1 {
+		if len(crashes) == threshold && len(runs.crashes) >= threshold-1 {
 			return false
 		}
 		rarer := 2*len(runs.requests) <= len(byPart[part].requests)
@@ -86,32 +86,33 @@
 	return true
 }
 
-// mayExplain reports whether the part of the runs may have caused the crashes: it was on
-// several of their servers, and on all but one of those where all runs have been
-// reported. t.mu is held.
+// mayExplain reports whether the part of the runs may have caused the crashes: several of
+// them interrupted such runs, as did all but one of those whose runs have been reported.
+// t.mu is held.
 func (t *Table) mayExplain(runs starts, crashes []*crash) bool {
 	now := t.now()
 	unexplained := 0
 	for _, c := range crashes {
-		if !runs.servers[c.Server] && now.Sub(c.at) >= reportTime {
+		if !runs.crashes[c] && now.Sub(c.at) >= reportTime {
 			unexplained++
 		}
 	}
-	return len(runs.servers) > 1 && unexplained < minUnexplained
+	return len(runs.crashes) > 1 && unexplained < minUnexplained
 }
 
-// starts are the crashed runs that had a part at their start.
+// starts are the runs with a part that crashes interrupted at their start.
 type starts struct {
 	requests map[uint64]bool // by fingerprint
-	servers  map[uint32]bool // by tag
+	crashes  map[*crash]bool // that interrupted them
 }
 
-// startsOn returns the runs on the servers of the crashes, by part. Parts that did no
-// harm since are left out. t.mu is held.
+// startsOn returns the runs that the crashes interrupted at their start, by part. Parts
+// that did no harm since are left out. t.mu is held.
 func (t *Table) startsOn(crashes []*crash) map[uint64]starts {
 	byPart := make(map[uint64]starts)
 	for _, c := range t.crashes {
-		if !c.AtStart || !onServers(c, crashes) {
+		event := c.together(crashes)
+		if !c.AtStart || event == nil {
 			continue
 		}
 		for _, p := range c.Parts {
@@ -120,29 +121,31 @@
 			}
 			s, ok := byPart[p]
 			if !ok {
-				s = starts{requests: make(map[uint64]bool), servers: make(map[uint32]bool)}
+				s = starts{requests: make(map[uint64]bool), crashes: make(map[*crash]bool)}
 				byPart[p] = s
 			}
-			s.requests[c.Fingerprint], s.servers[c.Server] = true, true
+			s.requests[c.Fingerprint], s.crashes[event] = true, true
 		}
 	}
 	return byPart
 }
 
-// otherRequests returns how many of the crashes of these servers remain if the
-// request that was at its start on most of them is left out. t.mu is held.
+// otherRequests returns how many of the crashes remain if those that interrupted the
+// same request at its start are left out, for the request for which these are most. t.mu
+// is held.
 func (t *Table) otherRequests(crashes []*crash) int {
-	servers := make(map[uint64]map[uint32]bool) // by request
+	interrupted := make(map[uint64]map[*crash]bool) // by request
 	most := 0
 	for _, c := range t.crashes {
-		if !c.AtStart || !onServers(c, crashes) {
+		event := c.together(crashes)
+		if !c.AtStart || event == nil {
 			continue
 		}
-		if servers[c.Fingerprint] == nil {
-			servers[c.Fingerprint] = make(map[uint32]bool)
+		if interrupted[c.Fingerprint] == nil {
+			interrupted[c.Fingerprint] = make(map[*crash]bool)
 		}
-		servers[c.Fingerprint][c.Server] = true
-		most = max(most, len(servers[c.Fingerprint]))
+		interrupted[c.Fingerprint][event] = true
+		most = max(most, len(interrupted[c.Fingerprint]))
 	}
 	return len(crashes) - most
 }
--- a/gateway/quarantine/quarantine_test.go
+++ b/gateway/quarantine/quarantine_test.go
@@ -283,6 +283,32 @@
 	is.True(f.daemons[0].ShouldRefuse(&popular.Subject))
 }
 
+// Guards against sparing a part that breaks run after run of two servers which go on
+// listening, because a rarer one was on both of them, too, but only at the first.
+func TestShouldRefuse_RarerPartAtFirstCrashesOnly(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2)
+	lost := func(server uint32, runs ...Run) {
+		sent := f.now
+		f.now = f.now.Add(50 * time.Millisecond)
+		for daemon, r := range runs {
+			r.Server, r.SentAt, r.ServerDown = server, sent, false
+			f.daemons[daemon].RecordCrash(&r)
+		}
+		f.now = f.now.Add(300 * time.Millisecond)
+		f.gossip()
+	}
+	lost(1, starting(1, first, bad), starting(100, first, other))
+	lost(2, starting(2, first, bad), starting(100, first, other))
+	for n := range uint64(2 * lostThreshold) {
+		lost(uint32(n%2)+1, starting(10+n, first, bad))
+		f.daemons[0].RecordSound(&Subject{Parts: []uint64{first}})
+		f.gossip()
+	}
+	is.Equal(f.refusing(first, bad), 2)
+	is.Equal(f.refusing(first, other), 0)
+}
+
 // Guards against refusing the parts of sound requests because two servers crash one right
 // after the other, with many short runs on each: those are two crashes, whether the servers
 // go on listening or not.
--- a/gateway/quarantine/sequence.go
+++ b/gateway/quarantine/sequence.go
@@ -19,6 +19,21 @@
 	return !c.SentAt.Before(earlier.at.Add(-clockSlack)) && !c.at.Before(earlier.at.Add(clockSlack))
 }
 
+// together returns the one of the crashes that has interrupted the run as well, the one
+// nearest in time if there are several; nil if there is none.
+func (c *crash) together(crashes []*crash) *crash {
+	var nearest *crash
+	for _, o := range crashes {
+		if c.Server != o.Server || c.begunAfter(o) || o.begunAfter(c) {
+			continue
+		}
+		if nearest == nil || c.at.Sub(o.at).Abs() < c.at.Sub(nearest.at).Abs() {
+			nearest = o
+		}
+	}
+	return nearest
+}
+
 // serverCrashes returns how many times a server has crashed in the course of these
 // runs: those that one crash has interrupted count once.
 func serverCrashes(runs []*crash) int {
@@ -84,8 +99,3 @@
 	}
 	return len(servers)
 }
-
-// onServers reports whether a run was on one of the servers of the crashes.
-func onServers(r *crash, crashes []*crash) bool {
-	return slices.ContainsFunc(crashes, func(c *crash) bool { return c.Server == r.Server })
-}
--- a/tests/soak/crash_test.go
+++ b/tests/soak/crash_test.go
@@ -47,6 +47,7 @@
 var crashRegressions = []regression{
 	{109, "all servers crashed twice, and the reports of the runs with the part arrived last; the part that all requests share was refused"},
 	{111, "as 109"},
+	{242, "a rarer part was on two servers when their workers crashed first, and seemed to explain all later crashes of these servers"},
 }
 
 func runCrashSeed(t *testing.T, seed uint64, slot int) {
