quarantine: a banned part explains what its crashes interrupt on listening servers, too

Cause: if a server went down because of a banned part, what else was running there is not suspected. This was recognised by the server's identity, which a server that goes on listening keeps, so there the companions of a banned part went on collecting crashes, old and new ones.

Evidence: the new test, on the code before: the companion is refused after six crashes that interrupted it together with the banned part.

Change: what a run with a banned part and another run were interrupted by together is explained.

--- a/gateway/quarantine/crash.go
+++ b/gateway/quarantine/crash.go
@@ -64,8 +64,9 @@
 
 // explanation says which crashes are explained by a part that is banned.
 type explanation struct {
-	bans []*ban          // those of parts
-	down map[uint32]bool // servers that went down because of such a part
+	bans    []*ban          // those of parts
+	crashes []*crash        // due to such a part
+	down    map[uint32]bool // servers that went down because of such a part
 }
 
 // explanation returns the explanation by the bans in force. t.mu is held.
@@ -80,7 +81,11 @@
 		return e
 	}
 	for _, c := range t.crashes {
-		if c.ServerDown && e.banned(c) {
+		if !e.banned(c) {
+			continue
+		}
+		e.crashes = append(e.crashes, c)
+		if c.ServerDown {
 			e.down[c.Server] = true
 		}
 	}
@@ -92,9 +97,11 @@
 	return slices.ContainsFunc(e.bans, func(b *ban) bool { return b.covers(c.Fingerprint, c.Parts) })
 }
 
-// covers reports whether a crash is explained. If a server went down because of a part
-// that is banned, what else was running there is not suspected either.
-func (e *explanation) covers(c *crash) bool { return e.down[c.Server] || e.banned(c) }
+// covers reports whether a crash is explained. If it is due to a part that is banned, what
+// else was running on the server is not suspected either.
+func (e *explanation) covers(c *crash) bool {
+	return e.down[c.Server] || e.banned(c) || c.together(e.crashes) != nil
+}
 
 // evict makes room by removing the oldest of a few crashes. Scanning all of them for
 // each new one would cost too much CPU time during a mass crash. t.mu is held.
--- a/gateway/quarantine/quarantine_test.go
+++ b/gateway/quarantine/quarantine_test.go
@@ -309,6 +309,43 @@
 	is.Equal(f.refusing(first, other), 0)
 }
 
+// Guards against refusing a part that is only on servers which another one crashes, each
+// time, as long as the other one has crashed more of them: reports of its runs arrive last.
+func TestShouldRefuse_SparesCompanionOfPart(t *testing.T) {
+	for name, down := range map[string]bool{"down": true, "listening": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(2)
+			crash := func(server uint32, runs ...Run) { // run n is observed by daemon n
+				sent := f.now
+				f.now = f.now.Add(50 * time.Millisecond)
+				for daemon, r := range runs {
+					r.Server, r.SentAt, r.ServerDown = server, sent, down
+					f.daemons[daemon].RecordCrash(&r)
+					is.Equal(f.refusing(first, other), 0)
+				}
+				f.now = f.now.Add(2 * reportTime)
+				f.gossip()
+				f.gossip()
+			}
+			const crashes = 8
+			for n := range uint64(crashes) {
+				server := uint32(n % 2)
+				if down {
+					server = uint32(n) // the next incarnation
+				}
+				runs := []Run{starting(100+n, first, other), starting(n, first, bad)}
+				if n == 0 {
+					runs[0] = starting(100, first, sound)
+				}
+				crash(server, runs...)
+				is.Equal(f.refusing(first, other), 0)
+			}
+			is.Equal(f.refusing(first, bad), 2)
+		})
+	}
+}
+
 // Guards against refusing the parts of sound requests because two servers crash one right
 // after the other, with many short runs on each: those are two crashes, whether the servers
 // go on listening or not.
