--- a/gateway/quarantine/crash.go
+++ b/gateway/quarantine/crash.go
@@ -100,7 +100,7 @@
 // covers reports whether a crash is explained. If it is due to a part that is banned, what
 // else was running on the server is not suspected either.
 func (e *explanation) covers(c *crash) bool {
-	return e.down[c.Server] || e.banned(c) || c.together(e.crashes) != nil
+	return e.down[c.Server] || e.banned(c) || c.sameCrash(e.crashes) != nil
 }
 
 // evict makes room by removing the oldest of a few crashes. Scanning all of them for
--- a/gateway/quarantine/judge.go
+++ b/gateway/quarantine/judge.go
@@ -53,8 +53,7 @@
 }
 
 const (
-	// reportTime is within which the daemons have received each other's reports of a
-	// crash.
+	// reportTime is the time within which daemons receive each other's reports of a crash.
 	reportTime = time.Second
 	// minUnexplained is the number of crashes without a part that show that it is not
 	// the cause of all.
@@ -69,7 +68,7 @@
 	if len(crashes) < threshold {
 		return false
 	}
-	byPart := t.startsOn(crashes)
+	byPart := t.startsByPart(crashes)
 	common := t.commonParts(crashes)
 	for other, runs := range byPart {
 		if other == part || slices.Contains(common, other) {
@@ -106,13 +105,13 @@
 	crashes  map[*crash]bool // that interrupted them
 }
 
-// startsOn returns the runs that the crashes interrupted at their start, by part. Parts
+// startsByPart returns the runs that the crashes interrupted at their start, by part. Parts
 // that did no harm since are left out. t.mu is held.
-func (t *Table) startsOn(crashes []*crash) map[uint64]starts {
+func (t *Table) startsByPart(crashes []*crash) map[uint64]starts {
 	byPart := make(map[uint64]starts)
 	for _, c := range t.crashes {
-		event := c.together(crashes)
-		if !c.AtStart || event == nil {
+		interruptedBy := c.sameCrash(crashes)
+		if !c.AtStart || interruptedBy == nil {
 			continue
 		}
 		for _, p := range c.Parts {
@@ -124,7 +123,7 @@
 				s = starts{requests: make(map[uint64]bool), crashes: make(map[*crash]bool)}
 				byPart[p] = s
 			}
-			s.requests[c.Fingerprint], s.crashes[event] = true, true
+			s.requests[c.Fingerprint], s.crashes[interruptedBy] = true, true
 		}
 	}
 	return byPart
@@ -137,14 +136,14 @@
 	interrupted := make(map[uint64]map[*crash]bool) // by request
 	most := 0
 	for _, c := range t.crashes {
-		event := c.together(crashes)
-		if !c.AtStart || event == nil {
+		interruptedBy := c.sameCrash(crashes)
+		if !c.AtStart || interruptedBy == nil {
 			continue
 		}
 		if interrupted[c.Fingerprint] == nil {
 			interrupted[c.Fingerprint] = make(map[*crash]bool)
 		}
-		interrupted[c.Fingerprint][event] = true
+		interrupted[c.Fingerprint][interruptedBy] = true
 		most = max(most, len(interrupted[c.Fingerprint]))
 	}
 	return len(crashes) - most
--- a/gateway/quarantine/sequence.go
+++ b/gateway/quarantine/sequence.go
@@ -19,9 +19,9 @@
 	return !c.SentAt.Before(earlier.at.Add(-clockSlack)) && !c.at.Before(earlier.at.Add(clockSlack))
 }
 
-// together returns the one of the crashes that has interrupted the run as well, the one
-// nearest in time if there are several; nil if there is none.
-func (c *crash) together(crashes []*crash) *crash {
+// sameCrash returns the one of the crashes that also interrupted this run, the nearest in
+// time if there are several; nil if there is none.
+func (c *crash) sameCrash(crashes []*crash) *crash {
 	var nearest *crash
 	for _, o := range crashes {
 		if c.Server != o.Server || c.begunAfter(o) || o.begunAfter(c) {
