tests/soak: two checks do not depend on processor time

Both were traced.

The request had not been written: the client found the connection closed before, and reports only that. Now what is known of the write is part of the error.

Now only requests count that their callers sent after the refusal. A mutant that ignores pauses is still found.

--- a/tests/soak/caller_test.go
+++ b/tests/soak/caller_test.go
@@ -141,9 +141,7 @@
 		return connRefused, errors.New("no address")
 	}
 	r.daemon, _, _ = strings.Cut(address, ":")
-	var written atomic.Pointer[time.Time]
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		WroteRequest: func(httptrace.WroteRequestInfo) { now := time.Now(); written.Store(&now) }})
+	ctx, written := traceWrite(ctx)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/"+r.kind+"/x", strings.NewReader("body of "+r.id))
 	if err != nil {
 		return connBroken, err
@@ -162,10 +160,11 @@
 	r.passed = time.Now()
 	r.posted = r.passed
 	resp, err := c.do(req)
-	if at := written.Load(); at != nil {
-		r.posted = *at
+	if w := written.Load(); w != nil {
+		r.posted = w.at
 	}
 	if err != nil {
+		err = written.explain(err)
 		c.addressesExpire = time.Time{}
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			return connRefused, err
@@ -183,6 +182,35 @@
 	return resp.StatusCode, nil
 }
 
+// write is the end of writing a request.
+type write struct {
+	at  time.Time
+	err error // nil if it was written in full
+}
+
+// writeTrace records the write of a request; nil until it has ended.
+type writeTrace struct{ atomic.Pointer[write] }
+
+// traceWrite returns a context for a request and the trace of its write.
+func traceWrite(ctx context.Context) (context.Context, *writeTrace) {
+	var t writeTrace
+	record := func(info httptrace.WroteRequestInfo) { t.Store(&write{time.Now(), info.Err}) }
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: record}), &t
+}
+
+// errNotWritten is part of the error of a request of which nothing was written.
+var errNotWritten = errors.New("request was not written")
+
+// explain adds to the error of a request why it was not written. HTTP clients may only
+// report that the connection was closed.
+func (t *writeTrace) explain(err error) error {
+	w := t.Load()
+	if w == nil {
+		return errors.Join(err, errNotWritten)
+	}
+	return errors.Join(err, w.err)
+}
+
 // expectedBody returns the complete body of the response to a request.
 func expectedBody(r *result) string {
 	if !isStream(r.kind) {
--- a/tests/soak/conn_test.go
+++ b/tests/soak/conn_test.go
@@ -87,9 +87,9 @@
 }
 
 // unread reports whether an error shows that the daemon closed the connection
-// without having read all that was written to it.
+// without having read the request.
 func unread(err error) bool {
-	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, errNotWritten)
 }
 
 // closingServer closes each connection while the next request on it may be in transit,
@@ -140,13 +140,15 @@
 		return
 	}
 	req.Header.Set("Id", id)
-	resp, err := transport.RoundTrip(req)
+	ctx, written := traceWrite(t.Context())
+	resp, err := transport.RoundTrip(req.WithContext(ctx))
 	if err == nil {
 		resp.Body.Close()
 		return
 	}
+	err = written.explain(err)
 	_, read := s.read.Load(id)
-	if errors.Is(err, io.EOF) && !read {
+	if !unread(err) && !read {
 		t.Errorf("request %s was not read, but its error does not say so: %v", id, err)
 	}
 	if unread(err) && read {
--- a/tests/soak/leaving_test.go
+++ b/tests/soak/leaving_test.go
@@ -60,6 +60,12 @@
 // serverByDaemon identifies what one daemon knows about one server.
 type serverByDaemon struct{ daemon, server string }
 
+// arrival is a request that has reached a server.
+type arrival struct {
+	at   time.Time
+	sent time.Time // by its caller
+}
+
 // checkLeaving checks that a daemon that was told that a server is leaving sends it
 // nothing later than drainBound after. A restart or a pause of the daemon excuses it.
 func (f *fleet) checkLeaving(results []result, left leavingServers) {
@@ -80,20 +86,22 @@
 }
 
 // checkPauses checks that at most maxInPause requests of a daemon reach a server in the
-// pause that it has asked for, later than pauseSlack after the refusal.
+// pause that it has asked for, later than pauseSlack after the refusal. A stand-in that
+// gets too little processor time records arrivals late, so only requests count that their
+// callers sent after the refusal.
 func (f *fleet) checkPauses(results []result) {
-	arrivals := make(map[serverByDaemon][]time.Time)
+	arrivals := make(map[serverByDaemon][]arrival)
 	record := func(r *result, run runner.Run) {
 		key := serverByDaemon{r.daemon, run.Runner}
-		arrivals[key] = append(arrivals[key], run.Start)
+		arrivals[key] = append(arrivals[key], arrival{run.Start, r.sent})
 	}
 	f.eachRun(results, f.ledger.Runs, record)
 	f.eachRun(results, f.ledger.Refusals, record)
 	f.eachRun(results, f.ledger.Refusals, func(r *result, refusal runner.Run) {
 		end := refusal.Start.Add(runner.PauseTime)
 		n := 0
-		for _, at := range arrivals[serverByDaemon{r.daemon, refusal.Runner}] {
-			if at.After(refusal.Start.Add(pauseSlack)) && at.Before(end) {
+		for _, a := range arrivals[serverByDaemon{r.daemon, refusal.Runner}] {
+			if a.sent.After(refusal.Start) && a.at.After(refusal.Start.Add(pauseSlack)) && a.at.Before(end) {
 				n++
 			}
 		}
