--- a/gateway/quarantine/quarantine_test.go
+++ b/gateway/quarantine/quarantine_test.go
@@ -168,9 +168,9 @@
 	is.Equal(f.refusing(first, bad), 0)
 }
 
-// Load pattern: what crashes servers comes less than once in half a minute, so that the
-// first crash is long past when there are enough. It is refused, and when that ends, the
-// next crash is enough.
+// Guards against forgetting crashes before there are enough, as those of something that
+// comes less than once in half a minute: it is refused, and when that ends, the next crash
+// is enough.
 func TestShouldRefuse_RareCrashes(t *testing.T) {
 	const gap = 45 * time.Second
 	for name, run := range map[string]func(n uint64) Run{
