peers: who is alive is determined without copying the fleet

Cause: each message, poll check and placed request copied and sorted the table of all daemons, some 80 times a second, to count it or look for one entry; each relayed entry read the clock twice, which is a system call; each round copied and shuffled all peers to choose three.

Change: the table keeps its peers sorted; counts, rank and choices pass over it without a copy; one clock reading for each datagram.

The test of targets looks up the zone of a target in the table, since the target no longer holds it; what it checks is unchanged.

--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -195,7 +195,7 @@
 		}
 		return age.Seconds()
 	})
-	d.metrics.Gauge("peers", func() float64 { return float64(len(d.peers.Alive())) })
+	d.metrics.Gauge("peers", func() float64 { return float64(d.peers.CountAlive()) })
 	d.metrics.Gauge("server_connections", func() float64 { return float64(d.pool.OpenConns()) })
 	d.metrics.Gauge("cache_news_lost", func() float64 { return float64(d.cacheIndex.DroppedUpdates()) })
 	d.metrics.Gauge("log_lines_dropped", func() float64 { return float64(d.writer.Dropped()) })
--- a/gateway/peers/exchange.go
+++ b/gateway/peers/exchange.go
@@ -190,7 +190,7 @@
 		RelayedInFlight: large,
 	}
 	m.State.StoreReachable = e.table.canReadStore()
-	m.State.Zone = zoneTag(e.table.self.Zone)
+	m.State.Zone = e.table.zone
 	if confirmed {
 		m.AgeMS = age.Milliseconds() + 1
 	}
@@ -238,11 +238,12 @@
 // those of the daemons that it relays if they are newer.
 func (e *Exchange) setCounts(ip string, m *Message) {
 	e.loads.SetPeer(ip, inFlightByServer(m.InFlight))
-	for i := range m.Relayed {
-		o := &m.Relayed[i]
-		if e.table.recordRelayed(o) && m.RelayedInFlight {
-			e.loads.SetPeer(o.IP, inFlightByServer(o.InFlight))
-		}
+	newer := e.table.recordRelayed(m.Relayed)
+	if !m.RelayedInFlight {
+		return
+	}
+	for _, o := range newer {
+		e.loads.SetPeer(o.IP, inFlightByServer(o.InFlight))
 	}
 }
 
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -14,14 +14,11 @@
 package peers
 
 import (
-	"cmp"
-	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"cassialatch.dev/gateway/boottime"
 	"cassialatch.dev/gateway/catalog"
 )
@@ -64,26 +61,30 @@
 	lastSeen      boottime.Instant // when its latest state was received, directly or by a relaying daemon; 0: never
 	lastMentioned boottime.Instant // when it was last added, relayed or seen
 	lastSentAt    boottime.Instant // latest timestamp of its clock, echoed to it
+	rankKey       uint64           // position in the order of Rank
 }
 
 // Table holds the known daemons of the fleet, without this one. It is safe for
 // concurrent use.
 type Table struct {
 	self    Self
+	zone    ZoneTag // of this daemon
 	clock   boottime.Clock
 	catalog *catalog.Catalog
 
 	mu             sync.Mutex
 	peers          map[string]*Peer
+	sorted         []*Peer  // the peers, by IP address
 	reloadedSeeds  []string // IP addresses, of the latest reload
 	storeReachable bool
 	peakSize       int              // peak number of alive daemons, including this one
 	peakSizeAt     boottime.Instant // when the peak was last reached
+	sample         []*Peer          // memory of sampleTargets and relayedPeers, empty between calls
 }
 
 // NewTable returns a table that contains the seeds.
 func NewTable(self Self, clock boottime.Clock, c *catalog.Catalog) *Table {
-	t := &Table{self: self, clock: clock, catalog: c, peers: make(map[string]*Peer), storeReachable: true}
+	t := &Table{self: self, zone: zoneTag(self.Zone), clock: clock, catalog: c, peers: make(map[string]*Peer), storeReachable: true}
 	for _, ip := range self.Seeds {
 		t.add(ip)
 	}
@@ -101,18 +102,23 @@
 	}
 }
 
-// add adds a daemon or refreshes the time at which it was last mentioned. It
+// add is addAt for the current time. The caller must hold t.mu.
+func (t *Table) add(ip string) *Peer { return t.addAt(ip, t.clock()) }
+
+// addAt adds a daemon or refreshes the time at which it was last mentioned. It
 // returns nil for this daemon. The caller must hold t.mu.
-func (t *Table) add(ip string) *Peer {
+func (t *Table) addAt(ip string, now boottime.Instant) *Peer {
 	if ip == t.self.IP {
 		return nil
 	}
 	p, ok := t.peers[ip]
 	if !ok {
-		p = &Peer{IP: ip}
+		p = &Peer{IP: ip, rankKey: rankKey(ip)}
 		t.peers[ip] = p
+		i, _ := slices.BinarySearchFunc(t.sorted, ip, func(p *Peer, ip string) int { return strings.Compare(p.IP, ip) })
+		t.sorted = slices.Insert(t.sorted, i, p)
 	}
-	p.lastMentioned = t.clock()
+	p.lastMentioned = now
 	return p
 }
 
@@ -130,15 +136,6 @@
 	return small
 }
 
-// Isolated reports whether no other daemon is alive.
-func (t *Table) Isolated() bool { return len(t.Alive()) == 0 }
-
-// hasNewPeer reports whether an alive peer does not have the contents of the
-// servers' caches yet.
-func (t *Table) hasNewPeer() bool {
-	return slices.ContainsFunc(t.Alive(), func(p Peer) bool { return !p.CachesKnown })
-}
-
 // LargeFleet reports whether the fleet is too large for each daemon to send to all
 // others.
 func (t *Table) LargeFleet() bool {
@@ -150,58 +147,6 @@
 // large implements LargeFleet. The caller must hold t.mu.
 func (t *Table) large() bool { return len(t.peers) > maxFullMesh }
 
-// aliveTimeout returns how long a daemon counts as alive after it was last seen.
-// The caller must hold t.mu.
-func (t *Table) aliveTimeout() time.Duration {
-	const small, large = 700 * time.Millisecond, 2500 * time.Millisecond
-	if t.large() {
-		return large
-	}
-	return small
-}
-
-// Alive returns the daemons from which a state was received recently, directly or
-// relayed, sorted by IP address. This daemon is not included.
-func (t *Table) Alive() []Peer {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.alive()
-}
-
-// alive implements Alive. The caller must hold t.mu.
-func (t *Table) alive() []Peer {
-	now := t.clock()
-	var alive []Peer
-	for _, p := range t.peers {
-		if p.lastSeen != 0 && now.Sub(p.lastSeen) < t.aliveTimeout() {
-			alive = append(alive, *p)
-		}
-	}
-	slices.SortFunc(alive, func(a, b Peer) int { return cmp.Compare(a.IP, b.IP) })
-	return alive
-}
-
-// FleetSize returns the number of daemons in the fleet, including this one. It is
-// the recent peak of the number of alive daemons, so that it does not drop during a
-// short partition.
-func (t *Table) FleetSize() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.clock()
-	n := len(t.alive()) + 1
-	if n >= t.peakSize || now.Sub(t.peakSizeAt) > fleetSizeTTL {
-		t.peakSize, t.peakSizeAt = n, now
-	}
-	return t.peakSize
-}
-
-// HasMajority reports whether more than half of the fleet, including this daemon,
-// is alive.
-func (t *Table) HasMajority() bool {
-	fleet := t.FleetSize()
-	return 2*(len(t.Alive())+1) > fleet
-}
-
 // SetStoreReachable records whether this daemon can read the store.
 func (t *Table) SetStoreReachable(ok bool) {
 	t.mu.Lock()
@@ -216,26 +161,6 @@
 	return t.storeReachable
 }
 
-// Rank returns this daemon's position, starting at 0, among the alive daemons that
-// are not leaving and can read the store. If this daemon can't read the store
-// itself, it is the position among all alive daemons that are not leaving. The
-// order is by a hash of the IP address, which mixes availability zones.
-func (t *Table) Rank() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	own := rankKey(t.self.IP)
-	rank := 0
-	for _, p := range t.alive() {
-		if (p.StoreReachable || !t.storeReachable) && !p.Leaving && rankKey(p.IP) < own {
-			rank++
-		}
-	}
-	return rank
-}
-
-// rankKey returns the key by which Rank orders the daemons.
-func rankKey(ip string) uint64 { return xxhash.Sum64String(ip) }
-
 // recordMessage records a message received from a daemon. It returns false and
 // records nothing if the message is older than the latest one.
 func (t *Table) recordMessage(ip string, h header, m *Message) bool {
@@ -254,22 +179,28 @@
 	return true
 }
 
-// recordRelayed records what a peer relays about a third daemon. It returns false
-// if that is not newer than what this daemon has.
-func (t *Table) recordRelayed(o *RelayedPeer) bool {
+// recordRelayed records what a peer relays about other daemons. It returns the
+// entries that are newer than what this daemon has.
+func (t *Table) recordRelayed(relayed []RelayedPeer) []*RelayedPeer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if o.AgeMS < 0 {
-		return false
-	}
-	p := t.add(o.IP)
-	at := t.clock().Add(-time.Duration(o.AgeMS) * time.Millisecond)
-	if p == nil || at <= p.lastSeen {
-		return false
+	now := t.clock()
+	newer := make([]*RelayedPeer, 0, len(relayed))
+	for i := range relayed {
+		o := &relayed[i]
+		if o.AgeMS < 0 {
+			continue
+		}
+		p := t.addAt(o.IP, now)
+		at := now.Add(-time.Duration(o.AgeMS) * time.Millisecond)
+		if p == nil || at <= p.lastSeen {
+			continue
+		}
+		p.lastSeen = at
+		p.State, p.inFlight = o.State, o.InFlight
+		newer = append(newer, o)
 	}
-	p.lastSeen = at
-	p.State, p.inFlight = o.State, o.InFlight
-	return true
+	return newer
 }
 
 // relayedPeers returns up to maxRelayed random alive daemons to relay. In a small
@@ -278,12 +209,12 @@
 func (t *Table) relayedPeers() []RelayedPeer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	alive := t.alive()
-	rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
-	alive = alive[:min(len(alive), maxRelayed)]
+	alive := slices.AppendSeq(t.sample[:0], t.alive())
+	t.sample = alive[:0]
+	chosen := sample(alive, min(len(alive), maxRelayed))
 	now := t.clock()
-	list := make([]RelayedPeer, len(alive))
-	for i, p := range alive {
+	list := make([]RelayedPeer, len(chosen))
+	for i, p := range chosen {
 		list[i] = RelayedPeer{IP: p.IP, AgeMS: now.Sub(p.lastSeen).Milliseconds() + 1, State: p.State}
 		if t.large() {
 			list[i].InFlight = p.inFlight
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -279,7 +279,7 @@
 	}
 	count := func() (sameZone, crossZone int) {
 		for _, to := range table.targets() {
-			if to.crossZone {
+			if table.peers[to.ip].Zone != zoneTag("a") {
 				crossZone++
 			} else {
 				sameZone++
--- a/gateway/peers/targets.go
+++ b/gateway/peers/targets.go
@@ -12,36 +12,56 @@
 func (t *Table) targets() []target {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.clock()
-	list := make([]target, 0, len(t.peers))
-	for ip, p := range t.peers {
-		if now.Sub(max(p.lastSeen, p.lastMentioned)) > peerExpiry && !t.isSeed(ip) {
-			delete(t.peers, ip)
-			continue
-		}
-		list = append(list, target{ip: ip, incarnation: p.incarnation, echo: p.lastSentAt, crossZone: p.Zone != zoneTag(t.self.Zone)})
+	t.removeExpired()
+	chosen := t.sorted
+	if t.large() {
+		chosen = t.sampleTargets()
 	}
-	if !t.large() {
-		return list
+	list := make([]target, len(chosen))
+	for i, p := range chosen {
+		list[i] = target{ip: p.IP, incarnation: p.incarnation, echo: p.lastSentAt}
 	}
-	return sampleTargets(list)
+	return list
 }
 
-// sampleTargets selects up to fanout random targets and prefers those in the same
-// availability zone.
-func sampleTargets(list []target) []target {
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	var sameZone, crossZone []target
-	for _, to := range list {
-		if to.crossZone {
-			crossZone = append(crossZone, to)
-		} else {
-			sameZone = append(sameZone, to)
+// removeExpired removes the daemons that were neither seen nor mentioned for
+// peerExpiry, except the seeds. The caller must hold t.mu.
+func (t *Table) removeExpired() {
+	now := t.clock()
+	t.sorted = slices.DeleteFunc(t.sorted, func(p *Peer) bool {
+		expired := now.Sub(max(p.lastSeen, p.lastMentioned)) > peerExpiry && !t.isSeed(p.IP)
+		if expired {
+			delete(t.peers, p.IP)
+		}
+		return expired
+	})
+}
+
+// sampleTargets selects up to fanout random daemons and prefers those in the own
+// availability zone. The caller must hold t.mu.
+func (t *Table) sampleTargets() []*Peer {
+	list := append(t.sample[:0], t.sorted...)
+	t.sample = list[:0]
+	n := 0 // of the own zone, which come first
+	for i, p := range list {
+		if p.Zone == t.zone {
+			list[i], list[n] = list[n], p
+			n++
 		}
 	}
+	sameZone, crossZone := list[:n], list[n:]
 	crossZoneCount := min(len(crossZone), max(crossZoneFanout, fanout-len(sameZone)))
 	sameZoneCount := min(len(sameZone), fanout-crossZoneCount)
-	return slices.Concat(sameZone[:sameZoneCount], crossZone[:crossZoneCount])
+	return slices.Concat(sample(sameZone, sameZoneCount), sample(crossZone, crossZoneCount))
+}
+
+// sample moves n random elements of a list to its start and returns them.
+func sample(list []*Peer, n int) []*Peer {
+	for i := range n {
+		j := i + rand.IntN(len(list)-i)
+		list[i], list[j] = list[j], list[i]
+	}
+	return list[:n]
 }
 
 // target returns the target for a reply to a daemon.
@@ -60,5 +80,4 @@
 	ip          string
 	incarnation uint64
 	echo        boottime.Instant
-	crossZone   bool // in another availability zone, or the zone is not known yet
 }
