ingress: callers are told how long a connection may be reused

Cause, from a trial that reads on after each close: not the stop. A connection that had been idle for 15.75 s was closed as idle (limit 15 s), and the caller's request for a booking arrived 1.3 ms later. Callers were told no time after which they must not reuse a connection.

Ruled out: the end of the drain (17 and 7 idle connections closed, no byte arrived on them), the accept queue (no connection was closed before its first request), CloseIdle ending a request that was read.

Change: responses name the configured idle timeout less a second in Keep-Alive, unless the daemon is draining.

Tests: TestHandlerAnnouncesHowLongConnectionsMayBeReused (fails without the header), TestHandlerAnnouncesNoReuseInDrain.

--- a/gateway/ingress/fixture_test.go
+++ b/gateway/ingress/fixture_test.go
@@ -188,21 +188,27 @@
 	return boottime.Instant(time.Hour) + boottime.Instant(f.clockOffset.Load())
 }
 
-// newFixture starts a handler with the backends as the servers of its service.
-func newFixture(t *testing.T, backends ...*backend) *fixture {
-	f := &fixture{records: &records{}}
-	f.catalog = catalog.New(f.now)
+// fixtureConfig returns a configuration with the routes of the fixture.
+func fixtureConfig(version int64, idleTimeout time.Duration) *route.Config {
 	config := &route.Config{
-		Version:    1,
+		Version:    version,
 		Services:   []route.Service{{Name: "s"}},
 		Workspaces: []route.Workspace{{Name: "w", Keys: []string{"key"}}},
-		Limits:     route.Limits{BodyBytes: 1 << 20},
+		Limits:     route.Limits{BodyBytes: 1 << 20, IdleTimeout: idleTimeout},
 	}
 	for _, r := range routes {
 		r.Host = "127.0.0.1"
 		r.Targets = []route.Target{{Service: "s", Weight: 1}}
 		config.Routes = append(config.Routes, r)
 	}
+	return config
+}
+
+// newFixture starts a handler with the backends as the servers of its service.
+func newFixture(t *testing.T, backends ...*backend) *fixture {
+	f := &fixture{records: &records{}}
+	f.catalog = catalog.New(f.now)
+	config := fixtureConfig(1, 0)
 	state := catalog.State{Revision: 1}
 	for i, b := range backends {
 		state.Servers = append(state.Servers, catalog.Server{ID: fmt.Sprint("b", i), Service: "s", Address: b.address})
--- a/gateway/ingress/handler.go
+++ b/gateway/ingress/handler.go
@@ -85,7 +85,7 @@
 	rec.body = bodyMemory{budget: &h.bodies, limit: h.Settings.BodyBytes}
 	defer func() { h.end(w, rec, recover()) }()
 	q, reject := h.admit(w, r, rec)
-	w = &drainWriter{ResponseWriter: w, draining: h.draining}
+	w = &connHeaderWriter{ResponseWriter: w, h: h}
 	if reject != nil {
 		reject.write(w, rec)
 		return
