platform: odd entries name no server, and hide no neighbour

Report of other operators: one odd entry among those of the servers, very deeply nested, with a number too large or with a port out of range; daemons ended or stopped following the list.

Change: an entry must name an IP address and a port from 1 to 65535, numbers in range, a small size and nesting, fields of their type; else it is ignored with a typed error that names key and field, logged once for each revision (server_rejected) and counted (servers_rejected). The state of a peer is adopted without servers that can't be used.

Fixtures whose servers were at "a:1" or "a" now name an IP address, as servers do; what they check is unchanged.

--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -95,6 +95,8 @@
 	auxServers []*http.Server
 
 	drainTimes atomic.Pointer[drainTimes] // nil: not draining
+
+	datagramLoggedAt time.Time // used by the exchange's receiver only
 }
 
 // New returns a daemon that does not listen or connect before Run. It sets the
@@ -126,7 +128,7 @@
 	d.peers = peers.NewTable(d.self, boottime.Now, c)
 	triggerExchange := func() { d.exchange.Trigger() } // d.exchange is set by Run
 	d.scanner = cachescan.New(a.Lister, c, d.cacheIndex, d.peers, d.self, triggerExchange, d.log)
-	d.reader = reader.New(a.Source, c, d.peers, boottime.Now, d.log)
+	d.reader = reader.New(a.Source, c, d.peers, boottime.Now, readerLog{d.log, d.metrics})
 	d.handler = &ingress.Handler{
 		Dialect:         a.Dialect,
 		Catalog:         c,
@@ -176,6 +178,31 @@
 	d.metrics.Count("peer_fetch_failures")
 }
 
+// readerLog is the reader's log. It also counts the servers that are rejected.
+type readerLog struct {
+	*eventlog.Log
+	metrics *metrics.Registry
+}
+
+// ServerRejected implements reader.Log.
+func (l readerLog) ServerRejected(origin string, err error, revision int64) {
+	l.Log.ServerRejected(origin, err, revision)
+	l.metrics.Count("servers_rejected")
+}
+
+// datagramLogInterval is the minimum time between two log lines about datagrams that
+// were rejected. All of them are counted.
+const datagramLogInterval = 10 * time.Second
+
+// datagramRejected counts a datagram that no daemon has sent, and logs some.
+func (d *Daemon) datagramRejected(ip string, err error) {
+	d.metrics.Count("datagrams_rejected")
+	if now := time.Now(); now.Sub(d.datagramLoggedAt) >= datagramLogInterval {
+		d.datagramLoggedAt = now
+		d.log.DatagramRejected(ip, err)
+	}
+}
+
 // countDial counts an attempt to connect to a backend server.
 func (d *Daemon) countDial(err error) {
 	if err != nil {
--- a/gateway/eventlog/log.go
+++ b/gateway/eventlog/log.go
@@ -119,6 +119,12 @@
 	l.z.Error().Str("event", "configuration_rejected").Err(err).Int64("revision", revision).Msg("")
 }
 
+// ServerRejected implements reader.Log. It logs that an entry or a peer's state names
+// a server that can't be used.
+func (l *Log) ServerRejected(origin string, err error, revision int64) {
+	l.z.Warn().Str("event", "server_rejected").Str("origin", origin).Err(err).Int64("revision", revision).Msg("")
+}
+
 // Adopted implements reader.Log. It logs that a new state is in force, read from
 // the origin.
 func (l *Log) Adopted(origin string, revision, version int64, servers int, age time.Duration) {
@@ -132,6 +138,11 @@
 	l.z.Warn().Str("event", "peer_fetch_failed").Str("peer", ip).Int64("took_ms", took.Milliseconds()).Err(err).Msg("")
 }
 
+// DatagramRejected logs that a datagram was not sent by a daemon.
+func (l *Log) DatagramRejected(ip string, err error) {
+	l.z.Warn().Str("event", "datagram_rejected").Str("peer", ip).Err(err).Msg("")
+}
+
 // Quarantined implements quarantine.Log. It logs that requests are refused because
 // they crash servers. Parts have the names that they have in request lines.
 func (l *Log) Quarantined(b quarantine.Ban, crashes int) {
--- a/gateway/reader/reader.go
+++ b/gateway/reader/reader.go
@@ -24,6 +24,13 @@
 	Config    []byte           // configuration document; nil if none was published
 	ConfigRev int64            // store revision of the configuration document
 	Servers   []catalog.Server // sorted by ID
+	Rejected  []RejectedEntry  // since the last poll
+}
+
+// RejectedEntry is a published entry that names no server.
+type RejectedEntry struct {
+	Revision int64 // store revision of the entry
+	Err      error // names the key and the field
 }
 
 // Source reads the platform's store.
@@ -61,11 +68,18 @@
 	// ConfigRejected is called for a configuration document that can't be
 	// decoded.
 	ConfigRejected(err error, revision int64)
+	// ServerRejected is called for each revision of an entry that names no server,
+	// and for a server in the state of a peer that can't be used. The origin is as
+	// for Adopted.
+	ServerRejected(origin string, err error, revision int64)
 	// Adopted is called when the contents of the state have changed. The origin
 	// is "store" or the IP address of a peer.
 	Adopted(origin string, revision, version int64, servers int, age time.Duration)
 }
 
+// storeOrigin is the origin of states and entries that were read from the store.
+const storeOrigin = "store"
+
 const (
 	// tick is the interval at which Run checks whether a poll is due.
 	tick = 50 * time.Millisecond
@@ -185,6 +199,9 @@
 		return
 	}
 	r.recordSuccess()
+	for _, e := range update.Rejected {
+		r.log.ServerRejected(storeOrigin, e.Err, e.Revision)
+	}
 	r.adopt(update)
 }
 
@@ -244,7 +261,7 @@
 	table := r.publishedTable(&state)
 	before := r.catalog.View()
 	if r.catalog.Adopt(state, table, u.SentAt) {
-		r.logChange("store", before)
+		r.logChange(storeOrigin, before)
 	}
 }
 
@@ -278,9 +295,10 @@
 }
 
 // AdoptFromPeer writes a state received from a peer to the catalog. A state whose
-// configuration can't be decoded is discarded. The state was complete at the
-// given time.
+// configuration can't be decoded is discarded, and servers that can't be used are
+// left out. The state was complete at the given time.
 func (r *Reader) AdoptFromPeer(origin string, s catalog.State, at boottime.Instant) {
+	s.Servers = r.usableServers(origin, &s)
 	table, err := r.table(&s)
 	if err != nil {
 		r.log.ConfigRejected(err, s.RawRev)
@@ -292,6 +310,20 @@
 	}
 }
 
+// usableServers returns the servers of a peer's state without those that can't be
+// used, which it logs.
+func (r *Reader) usableServers(origin string, s *catalog.State) []catalog.Server {
+	usable := make([]catalog.Server, 0, len(s.Servers))
+	for i := range s.Servers {
+		if err := s.Servers[i].Check(); err != nil {
+			r.log.ServerRejected(origin, err, s.Revision)
+			continue
+		}
+		usable = append(usable, s.Servers[i])
+	}
+	return usable
+}
+
 // table decodes the configuration document of a state. It returns nil if the
 // document is not newer than the one in force.
 func (r *Reader) table(s *catalog.State) (*route.Table, error) {
--- a/gateway/reader/reader_test.go
+++ b/gateway/reader/reader_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -41,11 +43,17 @@
 func (m *fakeMembership) LargeFleet() bool          { return false }
 func (m *fakeMembership) HasMajority() bool         { return m.majority }
 
-type fakeLog struct{ rejected int }
+type fakeLog struct {
+	rejected        int
+	rejectedServers []error
+}
 
-func (*fakeLog) StoreUnavailable(error, time.Duration)            {}
-func (*fakeLog) StoreAvailable(time.Duration)                     {}
-func (l *fakeLog) ConfigRejected(error, int64)                    { l.rejected++ }
+func (*fakeLog) StoreUnavailable(error, time.Duration) {}
+func (*fakeLog) StoreAvailable(time.Duration)          {}
+func (l *fakeLog) ConfigRejected(error, int64)         { l.rejected++ }
+func (l *fakeLog) ServerRejected(_ string, err error, _ int64) {
+	l.rejectedServers = append(l.rejectedServers, err)
+}
 func (*fakeLog) Adopted(string, int64, int64, int, time.Duration) {}
 
 type fixture struct {
@@ -71,11 +79,14 @@
 	f.store.err = nil
 	f.store.update = Update{Revision: revision, SentAt: f.now, Config: []byte("doc"), ConfigRev: 1}
 	for _, id := range ids {
-		f.store.update.Servers = append(f.store.update.Servers, catalog.Server{ID: id, Service: "s", Address: id})
+		f.store.update.Servers = append(f.store.update.Servers, catalog.Server{ID: id, Service: "s", Address: addressOf(id)})
 	}
 	f.poll(context.Background())
 }
 
+// addressOf returns the address of a server with a one-letter ID.
+func addressOf(id string) string { return fmt.Sprintf("10.0.0.%d:1", id[0]) }
+
 // servers returns the number of servers in the catalog.
 func (f *fixture) servers() int { return len(f.catalog.View().Servers) }
 
@@ -220,7 +231,7 @@
 	f.now = f.now.Add(4 * time.Second)
 	f.store.err = nil
 	f.store.update.Revision = 2
-	f.store.update.Servers = []catalog.Server{{ID: "new", Service: "other", Address: "a"}}
+	f.store.update.Servers = []catalog.Server{{ID: "new", Service: "other", Address: addressOf("a")}}
 	f.poll(context.Background())
 	is.Equal(f.servers(), 1)
 }
@@ -260,3 +271,41 @@
 	f.poll(t.Context())
 	is.Equal(f.catalog.View().Table.Version(), int64(5))
 }
+
+// Guards against a server with an odd address or number that one peer has accepted:
+// it must not spread, and must not keep the state from being adopted.
+func TestAdoptFromPeer_LeavesOutServersThatCannotBeUsed(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	good := catalog.Server{ID: "a", Service: "s", Address: addressOf("a"), Born: 1790000000000}
+	state := catalog.State{Revision: 4, RawRev: 1, Raw: []byte("doc"), Servers: []catalog.Server{good}}
+	for _, spoil := range []func(*catalog.Server){
+		func(s *catalog.Server) { s.ID = "two\nlines" },
+		func(s *catalog.Server) { s.Service = "" },
+		func(s *catalog.Server) { s.Address = "10.0.0.1:99999" },
+		func(s *catalog.Server) { s.Address = "localhost:1" },
+		func(s *catalog.Server) { s.Slots = -1 },
+		func(s *catalog.Server) { s.Born = math.MaxInt64 },
+	} {
+		odd := good
+		spoil(&odd)
+		state.Servers = append(state.Servers, odd)
+	}
+	f.AdoptFromPeer("10.0.0.9", state, f.now)
+	is.Equal(f.catalog.State().Servers, []catalog.Server{good})
+	is.Equal(f.catalog.View().Revision, int64(4))
+	is.Equal(len(f.log.rejectedServers), 6)
+	for _, err := range f.log.rejectedServers {
+		var bad *catalog.ServerError
+		is.True(errors.As(err, &bad))
+	}
+}
+
+// Guards against a poll that says nothing of entries that it ignores.
+func TestPoll_LogsRejectedEntries(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.store.update = Update{Revision: 1, SentAt: f.now, Rejected: []RejectedEntry{{Revision: 1, Err: errDown}}}
+	f.poll(context.Background())
+	is.Equal(f.log.rejectedServers, []error{errDown})
+}
