peers: datagrams with numbers that overflow are rejected

A datagram with an age of 2^62 ms overflowed: the confirmation of the catalog became one from the future (age -1 ms instead of 20 s in the test), so revoked keys could be accepted beyond the lease. Counts of requests and tokens were summed whatever they were; a relayed daemon could have any text as its address.

Change: messages are checked after they are decoded.

--- a/gateway/daemon/listen.go
+++ b/gateway/daemon/listen.go
@@ -28,6 +28,7 @@
 	if err != nil {
 		return err
 	}
+	d.exchange.OnReject = d.datagramRejected
 	dir := &directory.Directory{Self: s.Frontend, Ready: d.ready, Peers: d.peers}
 	endpoints := []struct {
 		address string
--- a/gateway/peers/exchange.go
+++ b/gateway/peers/exchange.go
@@ -75,6 +75,9 @@
 	cacheIndex *cacheindex.Index
 	fetcher    Fetcher
 	ownState   func() State
+	// OnReject, if not nil, is called for each datagram that no daemon has sent. It
+	// must be set before Run.
+	OnReject func(ip string, err error)
 
 	incarnation uint64 // random, so that a restarted daemon has a new one
 	port        int
@@ -212,23 +215,35 @@
 	}
 }
 
-// handle processes a datagram from the given IP address. Malformed datagrams are
-// ignored.
-func (e *Exchange) handle(ctx context.Context, ip string, b []byte) {
+// decode decodes a datagram. Errors are of type *MessageError.
+func decode(b []byte) (header, *Message, error) {
 	h, ok := parseHeader(b)
 	if !ok {
-		return
+		return h, nil, &MessageError{Cause: errTooShort}
 	}
 	var m Message
-	if cbor.Unmarshal(b[headerBytes:], &m) != nil {
-		return // not sent by a daemon
+	if err := cbor.Unmarshal(b[headerBytes:], &m); err != nil {
+		return h, nil, &MessageError{Cause: err}
+	}
+	return h, &m, m.check()
+}
+
+// handle processes a datagram from the given IP address. Datagrams that no daemon has
+// sent are reported to OnReject and otherwise ignored.
+func (e *Exchange) handle(ctx context.Context, ip string, b []byte) {
+	h, m, err := decode(b)
+	if err != nil {
+		if e.OnReject != nil {
+			e.OnReject(ip, err)
+		}
+		return
 	}
-	if e.table.recordMessage(ip, h, &m) {
-		e.setCounts(ip, &m)
+	if e.table.recordMessage(ip, h, m) {
+		e.setCounts(ip, m)
 	}
 	e.cacheIndex.Merge(m.CacheUpdates, e.table.LargeFleet())
 	e.quarantine.Merge(&m.CrashNews)
-	e.syncCatalog(ctx, ip, h, &m)
+	e.syncCatalog(ctx, ip, h, m)
 	if m.Reply {
 		e.reply(ip)
 	}
--- a/gateway/peers/fetch.go
+++ b/gateway/peers/fetch.go
@@ -257,7 +257,7 @@
 	if err := json.NewDecoder(http.MaxBytesReader(nil, body, maxStateBytes)).Decode(&response); err != nil {
 		return nil, err
 	}
-	if response.Revision <= 0 || response.AgeMS < 0 {
+	if response.Revision <= 0 || !isAge(response.AgeMS) {
 		return nil, errNotConfirmed
 	}
 	return &response, response.unpack()
