--- a/tests/soak/fleet_test.go
+++ b/tests/soak/fleet_test.go
@@ -102,6 +102,7 @@
 	for i := range *servers {
 		f.servers = append(f.servers, newServer(f, []string{"models", "plain"}[i%2]))
 	}
+	f.putOddEntries()
 	f.publish()
 	dir := logDir(t)
 	for i := range *daemons {
@@ -329,6 +330,21 @@
 	s.f.store.Put("servers/"+s.handler.ID, []byte(entry))
 }
 
+// putOddEntries writes entries among those of the servers that name none. They must
+// neither be used nor keep daemons from following the others.
+func (f *fleet) putOddEntries() {
+	deep := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
+	for i, entry := range []string{
+		`{"service":"plain","state":"ready","address":"127.0.0.1:99999"}`,
+		`{"service":"plain","state":"ready","address":"127.0.0.1:80","slots":1e999}`,
+		`{"service":"plain","state":"ready","address":"127.0.0.1:80","born":1e300}`,
+		`{"service":"plain","state":"ready","address":"127.0.0.1:80","x":` + deep + `}`,
+		"\xff\xfe",
+	} {
+		f.store.Put(fmt.Sprint("servers/odd-", i), []byte(entry))
+	}
+}
+
 // current returns the ID of the server's current incarnation and the proxy in front
 // of it.
 func (s *server) current() (string, *proxy) {
