reader, peers: standbys are woken less often

Cause: every daemon checked 20 times a second whether a poll of the store is due, also standbys, which can't be due before the state has reached the maximum age of their rank; each gossip round slept once more.

Change: a standby checks when a poll may be due, at least each 200 ms; regular readers as before. A round waits for the minimum gap only when it is too early.

Test: TestUntilCheck_StandbysAreWokenOnlyWhenAPollMayBeDue.

--- a/gateway/peers/exchange.go
+++ b/gateway/peers/exchange.go
@@ -113,6 +113,7 @@
 	defer e.conn.Close()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	var lastRound time.Time
 	for {
 		changed := e.catalog.Changed()
 		select {
@@ -122,10 +123,11 @@
 		case <-changed: // send a changed state at once
 		case <-e.trigger:
 		}
+		time.Sleep(minRoundGap - time.Since(lastRound)) // returns at once if it has passed
+		lastRound = time.Now()
 		e.send()
 		e.loads.Expire()
 		timer.Reset(e.table.Interval())
-		time.Sleep(minRoundGap)
 	}
 }
 
--- a/gateway/reader/reader.go
+++ b/gateway/reader/reader.go
@@ -81,8 +81,10 @@
 const storeOrigin = "store"
 
 const (
-	// tick is the interval at which Run checks whether a poll is due.
-	tick = 50 * time.Millisecond
+	// tick is the interval at which Run checks whether a poll is due if one may be
+	// due soon, and maxTick otherwise: each check wakes the process up.
+	tick    = 50 * time.Millisecond
+	maxTick = 200 * time.Millisecond
 	// regularReaders is the number of ranks that poll as soon as the state is
 	// about pollInterval old.
 	regularReaders = 2
@@ -148,20 +150,32 @@
 
 // Run polls the store whenever a poll is due, until the context ends.
 func (r *Reader) Run(ctx context.Context) {
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	var last boottime.Instant
 	for {
-		if r.due(r.clock().Sub(last)) {
-			last = r.clock()
-			r.poll(ctx)
-		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
+		if r.due(r.clock().Sub(last)) {
+			last = r.clock()
+			r.poll(ctx)
+		}
+		timer.Reset(r.untilCheck())
+	}
+}
+
+// untilCheck returns the time until the next check whether a poll is due. A standby
+// has no poll to make before the state has reached the maximum age of its rank.
+func (r *Reader) untilCheck() time.Duration {
+	age, known := r.catalog.Age()
+	rank := r.members.Rank()
+	if !known || rank < regularReaders {
+		return tick
 	}
+	return min(max(maxAge(rank, r.members.LargeFleet())-age, tick), maxTick)
 }
 
 // due reports whether the daemon has to poll, given the time since its last poll.
--- a/gateway/reader/reader_test.go
+++ b/gateway/reader/reader_test.go
@@ -90,6 +90,23 @@
 // servers returns the number of servers in the catalog.
 func (f *fixture) servers() int { return len(f.catalog.View().Servers) }
 
+// Load pattern: hundreds of daemons, nearly all of them standbys. Guards against waking
+// each of them twenty times a second for a poll that can't be due, and against checking
+// later than a poll is due.
+func TestUntilCheck_StandbysAreWokenOnlyWhenAPollMayBeDue(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	is.Equal(f.untilCheck(), tick) // no state yet
+	f.publish(1, "a")
+	is.Equal(f.untilCheck(), tick) // a regular reader
+	f.members.rank = regularReaders
+	is.Equal(f.untilCheck(), maxTick)
+	f.now = f.now.Add(standbyAge - 120*time.Millisecond)
+	is.Equal(f.untilCheck(), 120*time.Millisecond)
+	f.now = f.now.Add(time.Second)
+	is.Equal(f.untilCheck(), tick) // overdue
+}
+
 // A regular reader polls at pollInterval. A standby polls only when the state has
 // reached the maximum age of its rank without a confirmation from a peer.
 func TestDue_StandbyPollsOnlyWithoutConfirmations(t *testing.T) {
