cacheindex, reader, peers: large files split by job

What daemons tell each other of caches, outages of the store, adoption of states and the header of datagrams have files of their own; nothing else is changed.

--- a/gateway/peers/exchange.go
+++ b/gateway/peers/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"errors"
 	"math/rand/v2"
 	"net"
@@ -10,52 +9,15 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"cassialatch.dev/gateway/boottime"
 	"cassialatch.dev/gateway/cacheindex"
 	"cassialatch.dev/gateway/catalog"
 	"cassialatch.dev/gateway/load"
 	"cassialatch.dev/gateway/quarantine"
 )
 
-// header precedes the message of each datagram. The sender echoes the latest
-// timestamp that it received from the recipient. The recipient computes the time
-// of the sender's confirmation from this echo, which is a reading of its own
-// clock, so a datagram that is delayed in transit can't make a confirmation
-// appear fresher than it is.
-type header struct {
-	incarnation     uint64           // of the sender
-	sentAt          boottime.Instant // sender's clock at sending
-	echoIncarnation uint64           // recipient's incarnation
-	echo            boottime.Instant // latest timestamp received from the recipient; 0: none
-}
-
-const headerBytes = 32
-
 // minRoundGap is the minimum time between two gossip rounds.
 const minRoundGap = 8 * time.Millisecond
 
-// append appends the encoded header to b.
-func (h header) append(b []byte) []byte {
-	b = binary.LittleEndian.AppendUint64(b, h.incarnation)
-	b = binary.LittleEndian.AppendUint64(b, uint64(h.sentAt))
-	b = binary.LittleEndian.AppendUint64(b, h.echoIncarnation)
-	return binary.LittleEndian.AppendUint64(b, uint64(h.echo))
-}
-
-// parseHeader decodes the header of a datagram. It returns false if the datagram
-// is too short.
-func parseHeader(b []byte) (header, bool) {
-	if len(b) < headerBytes {
-		return header{}, false
-	}
-	return header{
-		incarnation:     binary.LittleEndian.Uint64(b),
-		sentAt:          boottime.Instant(binary.LittleEndian.Uint64(b[8:])),
-		echoIncarnation: binary.LittleEndian.Uint64(b[16:]),
-		echo:            boottime.Instant(binary.LittleEndian.Uint64(b[24:])),
-	}, true
-}
-
 // Fetcher fetches the state of a peer.
 type Fetcher interface {
 	// Fetch starts to fetch the state of the peer at the given IP address. It
