--- a/gateway/ingress/choose_test.go
+++ b/gateway/ingress/choose_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -17,7 +18,7 @@
 
 // newPromptRequest returns a request with the prompt, at a handler with n servers.
 // Nothing is sent to the servers.
-func newPromptRequest(t *testing.T, n int) *request {
+func newPromptRequest(t testing.TB, n int) *request {
 	backends := make([]*backend, n)
 	for i := range backends {
 		backends[i] = &backend{}
@@ -70,3 +71,20 @@
 	is.Equal(chosen.source.ID, "b0")
 	is.Equal(chosen.FetchableTokens, 10_500)
 }
+
+// BenchmarkChoose measures what the choice of a server costs among many servers.
+func BenchmarkChoose(b *testing.B) {
+	for _, servers := range []int{9, 90, 256, 667} {
+		q := newPromptRequest(b, servers)
+		q.h.CacheIndex.MarkComputed(q.call.SharedParts(), q.holder("b3"))
+		for i := range servers {
+			q.h.Loads.Begin(uint32(q.holder(fmt.Sprint("b", i))), 100)
+		}
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				q.choose()
+			}
+		})
+	}
+}
--- a/gateway/ingress/fixture_test.go
+++ b/gateway/ingress/fixture_test.go
@@ -205,7 +205,7 @@
 }
 
 // newFixture starts a handler with the backends as the servers of its service.
-func newFixture(t *testing.T, backends ...*backend) *fixture {
+func newFixture(t testing.TB, backends ...*backend) *fixture {
 	f := &fixture{records: &records{}}
 	f.catalog = catalog.New(f.now)
 	config := fixtureConfig(1, 0)
