peers: the fuzz target of datagrams has a socket for replies

Found by 15 s of fuzzing: a datagram that asks for a reply panicked in the test, whose exchange had no socket; real ones have one.

--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -191,9 +191,15 @@
 		f.Fatal(err)
 	}
 	f.Add(append(make([]byte, headerBytes), body...))
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(func() { conn.Close() })
 	f.Fuzz(func(t *testing.T, b []byte) {
 		e, _ := newExchange(&fakeClock{now: 1})
-		e.handle(context.Background(), "10.0.0.9", b)
+		e.conn, e.port = conn, conn.LocalAddr().(*net.UDPAddr).Port // for messages that ask for a reply
+		e.handle(context.Background(), "127.0.0.1", b)
 	})
 }
 
