--- a/review/cmd/late-body-lost/main.go
+++ b/review/cmd/late-body-lost/main.go
@@ -34,7 +34,7 @@
 	defer site.Close()
 	site.PutConfig(7, kit.Route{Name: "r-notes", Host: kit.Host, PathPrefix: "/notes/", Type: "streaming", TimeoutMS: 12000, GoalMS: 800, Service: "klang", MaxAttempts: 1, Sticky: true, GapMS: 400})
 	for i := 1; i <= 3; i++ {
-		_, err := site.StartRunner(site.IP(100+i), fmt.Sprintf("i-klang%d", i), "klang", func(c *kit.Conn, req *http.Request) bool {
+		_, err := site.StartRunner(i, "klang", func(c *kit.Conn, req *http.Request) bool {
 			s := kit.Stream{Events: events, Gap: func(int) time.Duration { return gap }}
 			if req.ContentLength < bodyBytes {
 				s.Events = 2
--- a/review/cmd/late-body-twice/main.go
+++ b/review/cmd/late-body-twice/main.go
@@ -4,7 +4,6 @@
 package main
 
 import (
-	"fmt"
 	"net/http"
 	"strconv"
 	"sync"
@@ -64,7 +63,7 @@
 	site.PutConfig(7, kit.Route{Name: "r-essay", Host: kit.Host, PathPrefix: "/essay/", Type: "streaming", TimeoutMS: 12000, GoalMS: 800, Service: "klang", MaxAttempts: 2, Sticky: true, Resumable: true, GapMS: 400})
 	l := &ledger{runs: make(map[string][]*work)}
 	for i := 1; i <= 3; i++ {
-		_, err := site.StartRunner(site.IP(100+i), fmt.Sprintf("i-klang%d", i), "klang", func(c *kit.Conn, req *http.Request) bool {
+		_, err := site.StartRunner(i, "klang", func(c *kit.Conn, req *http.Request) bool {
 			return serve(rec, l, trouble, c, req)
 		})
 		if err != nil {
--- a/review/kit/runner.go
+++ b/review/kit/runner.go
@@ -24,6 +24,7 @@
 // request and returns whether the channel is kept.
 type Runner struct {
 	ID      string
+	Zone    string
 	Service string
 	Addr    string
 	Born    int64
@@ -38,14 +39,14 @@
 	sequence int
 }
 
-// StartRunner starts a runner on a free port of an IP address and registers it.
-func (s *Site) StartRunner(ip, id, service string, serve func(c *Conn, req *http.Request) bool) (*Runner, error) {
-	l, err := net.Listen("tcp4", ip+":0")
+// StartRunner starts runner n of a service on a free port and registers it.
+func (s *Site) StartRunner(n int, service string, serve func(c *Conn, req *http.Request) bool) (*Runner, error) {
+	l, err := net.Listen("tcp4", s.IP(100+n)+":0")
 	if err != nil {
 		return nil, err
 	}
 	r := &Runner{
-		ID: id, Service: service, Addr: l.Addr().String(), Born: time.Now().UnixMilli(), Serve: serve,
+		ID: fmt.Sprintf("i-%s%d", service, n), Zone: Zone(n), Service: service, Addr: l.Addr().String(), Born: time.Now().UnixMilli(), Serve: serve,
 		site: s, listener: l, stop: make(chan struct{}), state: "ready", conns: make(map[net.Conn]bool),
 	}
 	go r.accept()
@@ -76,7 +77,7 @@
 	r.mu.Lock()
 	r.sequence++
 	entry := map[string]any{
-		"service": r.Service, "address": r.Addr, "zone": "bergen-a", "version": "v1", "slots": 64, "state": r.state,
+		"service": r.Service, "address": r.Addr, "zone": r.Zone, "version": "v1", "slots": 64, "state": r.state,
 		"coldRemainingMs": 0, "sequence": r.sequence, "born": r.Born,
 	}
 	r.mu.Unlock()
--- a/review/kit/site.go
+++ b/review/kit/site.go
@@ -85,6 +85,9 @@
 	return true
 }
 
+// Zone returns the zone of machine or runner n, from 1.
+func Zone(n int) string { return []string{"bergen-a", "bergen-b", "voss-c"}[(n-1)%3] }
+
 // IP returns the address of machine n, from 1.
 func (s *Site) IP(n int) string { return fmt.Sprintf("%s.%d", s.Net, n) }
 
@@ -109,9 +112,9 @@
 		seeds = append(seeds, addr(s.IP(i), controlPort))
 	}
 	raw, _ := json.MarshalIndent(map[string]any{
-		"nodeName": fmt.Sprintf("edge-bergen-a-%d", n), "role": "gateway", "machineClass": "edge",
+		"nodeName": fmt.Sprintf("edge-%s-%d", Zone(n), n), "role": "gateway", "machineClass": "edge",
 		"serves": []string{"edge", "registry", "control_plane"},
-		"ip":     ip, "zone": "bergen-a", "region": "vestland",
+		"ip":     ip, "zone": Zone(n), "region": "vestland",
 		"zones": map[string]string{"bergen-a": "vestland", "bergen-b": "vestland", "voss-c": "vestland"},
 		"listen": map[string]string{
 			"frontend": addr(ip, frontendPort), "readiness": addr(ip, readinessPort),
