--- a/review/cmd/odd-entry/main.go
+++ b/review/cmd/odd-entry/main.go
@@ -34,7 +34,7 @@
 	defer site.Close()
 	site.PutConfig(7, kit.Route{Name: "r-booking", Host: kit.Host, PathPrefix: "/booking/", Type: "unsafe", TimeoutMS: 600, GoalMS: 100, Service: "arkiv", MaxAttempts: 1})
 	for i := 1; i <= runners; i++ {
-		if _, err := site.StartRunner(i, "arkiv", serve); err != nil {
+		if _, err := site.StartRunner(i, "arkiv", func(c *kit.Conn, req *http.Request) bool { return serve(rec, c, req) }); err != nil {
 			return 0, err
 		}
 	}
@@ -76,6 +76,7 @@
 			switch {
 			case a.Complete && a.Status == http.StatusOK && signed:
 				served.Add(1)
+				rec.Printf("request %s to gateway %d: %v, signed", id, g.N, a)
 			case a.Complete && a.Status/100 == 4 && a.Status != 408 && a.Status != 421 && a.Status != 429 && !signed:
 				denied.Add(1)
 				rec.Printf("request %s to gateway %d: %v, no signature, body %q", id, g.N, a, a.Body)
@@ -94,12 +95,14 @@
 }
 
 // serve runs a request at a runner.
-func serve(c *kit.Conn, req *http.Request) bool {
+func serve(rec *kit.Record, c *kit.Conn, req *http.Request) bool {
 	if _, err := io.Copy(io.Discard, req.Body); err != nil {
 		return false
 	}
 	time.Sleep(workTime)
-	answer := "done " + req.Header.Get("Cassialatch-Attempt-Id")
+	id := req.Header.Get("Cassialatch-Attempt-Id")
+	rec.Printf("runner %s has run %s", c.Runner.ID, id)
+	answer := "done " + id
 	_, err := io.WriteString(c, c.Runner.Head(req, 200, fmt.Sprintf("Content-Length: %d\r\n", len(answer)))+answer)
 	return err == nil
 }
--- a/review/cmd/refused-lookups/main.go
+++ b/review/cmd/refused-lookups/main.go
@@ -126,6 +126,7 @@
 		d.rec.Printf("runner %s has run %s %s %q, its answer is lost", c.Runner.ID, id, req.RequestURI, body)
 		return false
 	}
+	d.rec.Printf("runner %s has run %s", c.Runner.ID, id)
 	answer := "done " + id
 	_, err = io.WriteString(c, c.Runner.Head(req, 200, fmt.Sprintf("Content-Length: %d\r\n", len(answer)))+answer)
 	return err == nil
@@ -156,9 +157,7 @@
 			}
 			defer ch.Close()
 			a := ch.Call(method, path, id, deadline, body, "")
-			if d.losing.Load() || a.Status != http.StatusOK {
-				d.rec.Printf("request %s %s %s to gateway %d: %v", id, method, path, g.N, a)
-			}
+			d.rec.Printf("request %s %s %s to gateway %d: %v", id, method, path, g.N, a)
 			if !counted {
 				return
 			}
