gateway: log whether a server still accepts connections after one broke

An attempt whose connection broke names the state of the server's listener, and its request line the fingerprint of the content. Whether the server accepts connections is asked after each break, not only for prompts, and has three results: a connection limit of this daemon, or no answer in time, is no longer taken for a server that is down, and starts no backoff. What is refused is not changed yet.

TestHandlerAbortsBrokenLargeResponse: the connection that showed that the server listens is kept for reuse, so the test closes idle ones before it counts open ones; a leaked connection still fails it.

--- a/gateway/eventlog/log.go
+++ b/gateway/eventlog/log.go
@@ -52,6 +52,9 @@
 	if r.PromptKey != 0 {
 		e.Str("prompt", strconv.FormatUint(uint64(r.PromptKey), 16))
 	}
+	if r.Fingerprint != 0 {
+		e.Str("fingerprint", strconv.FormatUint(r.Fingerprint, 16))
+	}
 	if len(r.CrashParts) > 0 {
 		e.Strs("parts", partNames(r.CrashParts))
 	}
@@ -96,6 +99,9 @@
 	if a.Reason != ingress.ReasonNone {
 		e.Str("reason", string(a.Reason))
 	}
+	if a.Listening != "" {
+		e.Str("listening", string(a.Listening))
+	}
 	if a.Detail != "" {
 		e.Str("detail", a.Detail)
 	}
--- a/gateway/ingress/crash.go
+++ b/gateway/ingress/crash.go
@@ -7,6 +7,7 @@
 	"cassialatch.dev/gateway/cacheindex"
 	"cassialatch.dev/gateway/catalog"
 	"cassialatch.dev/gateway/quarantine"
+	"cassialatch.dev/gateway/upstream"
 )
 
 // soundAfter is how long after the first event of a stream a request is known not to
@@ -20,13 +21,17 @@
 	for _, p := range q.call.SharedParts() {
 		q.rec.CrashParts = append(q.rec.CrashParts, cacheindex.KeyOf(p))
 	}
-	atStart := q.brokeAtStart(a)
+	q.rec.Fingerprint = q.subject.Fingerprint
+	a.Listening = q.h.Pool.Probe(ctx, s, q.maxConns())
+	if a.Listening == upstream.ListeningNo {
+		q.h.Health.RecordUnreachable(s.ID)
+	}
 	q.h.Quarantine.RecordCrash(&quarantine.Run{
 		Subject:    q.subject,
 		Server:     s.Tag(),
 		SentAt:     a.start,
-		AtStart:    atStart,
-		ServerDown: atStart && q.serverDown(ctx, s),
+		AtStart:    q.brokeAtStart(a),
+		ServerDown: a.Listening == upstream.ListeningNo,
 	})
 	q.h.TriggerExchange()
 }
@@ -37,16 +42,6 @@
 	return !a.sound && !a.answering() && len(q.subject.Parts) > 0
 }
 
-// serverDown reports whether the server accepts no connections any more. One that only
-// lost the response still does.
-func (q *request) serverDown(ctx context.Context, s *catalog.Server) bool {
-	if q.h.Pool.Reachable(ctx, s, q.maxConns()) {
-		return false
-	}
-	q.h.Health.RecordUnreachable(s.ID)
-	return true
-}
-
 // answering reports whether the server has been writing the response for soundAfter.
 func (a *Attempt) answering() bool {
 	return !a.firstEvent.IsZero() && time.Since(a.firstEvent) >= soundAfter
--- a/gateway/ingress/endless_test.go
+++ b/gateway/ingress/endless_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"cassialatch.dev/gateway/upstream"
 )
 
 // stall starts a signed stream, sends one event and then nothing until the
@@ -174,6 +176,9 @@
 			rec := f.records.wait(1)[0]
 			is.Equal(rec.Outcome, OutcomeAborted)
 			is.Equal(rec.Attempts[0].Reason, ReasonConnectionBroken)
+			is.Equal(rec.Attempts[0].Listening, upstream.ListeningYes)
+			// The connection that showed this is kept as an idle one; no other is open.
+			f.handler.Pool.Expire(func(string) bool { return false })
 			is.Equal(f.handler.Pool.OpenConns(), 0)
 		})
 	}
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -8,6 +8,7 @@
 
 	"cassialatch.dev/gateway/cacheindex"
 	"cassialatch.dev/gateway/placement"
+	"cassialatch.dev/gateway/upstream"
 )
 
 // Outcome is how a request ended.
@@ -68,8 +69,9 @@
 	Cause         placement.Cause
 	FetchedFrom   string // ID of the server to fetch missing tokens from; empty if there was none
 	Status        int
-	Leaving       bool          // the server said that it is leaving
-	Pause         time.Duration // how long the server said that it wants no more requests; 0 if it did not
+	Leaving       bool               // the server said that it is leaving
+	Pause         time.Duration      // how long the server said that it wants no more requests; 0 if it did not
+	Listening     upstream.Listening // of the server, after its connection broke during the run; else empty
 	Reason        Reason
 	Detail        string // cause of a failure, for the log
 	Duration      time.Duration
@@ -100,7 +102,8 @@
 	Duration      time.Duration
 	Writes        int                  // writes of stream events to the caller
 	Resumptions   int                  // attempts that resumed a stream on another server
-	CrashParts    []cacheindex.PartKey // shared parts of the prompt, in order, if a server crashed while it ran the request
+	Fingerprint   uint64               // of the request's content, if a connection broke while a server ran it; else 0
+	CrashParts    []cacheindex.PartKey // shared parts of the prompt, in order, if a connection broke while a server ran the request
 	Panic         *Panic               // nil unless the handler panicked
 
 	body bodyMemory // released when the request ends
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -13,7 +13,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"cassialatch.dev/gateway/call"
@@ -78,21 +80,35 @@
 	return c, nil
 }
 
-// reachableTimeout limits how long Reachable waits for a connection.
-const reachableTimeout = 50 * time.Millisecond
+// Listening is whether a server accepts connections.
+type Listening string
 
-// Reachable reports whether the server accepts connections. A new one is kept for the
+// States of a server's listener.
+const (
+	ListeningUnknown Listening = "unknown" // no answer in time, or this daemon could not ask
+	ListeningYes     Listening = "yes"
+	ListeningNo      Listening = "no" // its machine refuses connections: the process has ended
+)
+
+// probeTimeout limits how long Probe waits for a connection.
+const probeTimeout = 50 * time.Millisecond
+
+// Probe finds out whether the server accepts connections. A new one is kept for the
 // next request. A server that has just crashed refuses connections; one that has only
-// broken off a response accepts them.
-func (p *Pool) Reachable(ctx context.Context, s *catalog.Server, maxConns int) bool {
-	ctx, cancel := context.WithTimeout(ctx, reachableTimeout)
+// broken off a response accepts them. A server that is slow or behind a partition does
+// neither.
+func (p *Pool) Probe(ctx context.Context, s *catalog.Server, maxConns int) Listening {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	c, err := p.open(ctx, s, maxConns)
-	if err != nil {
-		return false
+	switch {
+	case err == nil:
+		p.put(s.ID, c, 0)
+		return ListeningYes
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return ListeningNo
 	}
-	p.put(s.ID, c, 0)
-	return true
+	return ListeningUnknown
 }
 
 // takeIdle removes the most recently used idle connection that is still usable
