ingress: closed idle connections and timeouts are no crashes

Callers saw requests refused that crash nothing: whatever broke a connection counted as a crash of the server by the request on it. Two of these signs say nothing about the request.

A connection that timed out (TCP_USER_TIMEOUT, keep-alive) has lost its path, or its server is frozen; only a reset or the end of the connection can come from a process that has ended.

--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -144,7 +144,7 @@
 	}
 	q.h.Health.RecordFailure(s.ID)
 	if failure != nil && failure.Lost {
-		q.recordBroken(ctx, s, a)
+		q.recordBroken(ctx, s, a, failure.Idle)
 	}
 	return q.route.Repeatable()
 }
@@ -173,7 +173,7 @@
 		return false
 	}
 	if resp.Lost() {
-		q.recordBroken(ctx, s, a)
+		q.recordBroken(ctx, s, a, false)
 	}
 	return q.handleFailure(s, a, ReasonConnectionBroken, err.Error())
 }
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"math"
 	"net"
 	"net/http"
@@ -37,7 +38,8 @@
 	tcp       *net.TCPConn
 	br        *bufio.Reader // reads from Read, which applies readLimit
 	readLimit int64         // bytes that Read may still return
-	lost      bool          // a read has failed or reached the end of the connection
+	received  int64         // bytes read since the last request was sent
+	lost      bool          // the server's side has ended the connection
 	used      bool          // a request was sent on it
 	idleUntil time.Time     // not reused from then on
 }
@@ -75,12 +77,19 @@
 	}
 	n, err := c.tcp.Read(p)
 	c.readLimit -= int64(n)
+	c.received += int64(n)
 	if err != nil {
-		c.lost = true
+		c.lost = endedByPeer(err)
 	}
 	return n, err
 }
 
+// endedByPeer reports whether an error of a connection says that the other side has closed
+// or reset it. A connection that has timed out is no sign of that: its path may be cut.
+func endedByPeer(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // readResponse reads the head of the next final response and skips informational
 // (1xx) responses before it. All of these may have maxHeadBytes, beside what is in
 // the buffer already. The limit does not apply to the body.
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -25,8 +25,13 @@
 
 // Error is returned by Send when there is no usable response.
 type Error struct {
-	Sent  bool // the server may have received some of the request
-	Lost  bool // the connection broke, rather than carry bytes that are no response
+	Sent bool // the server may have received some of the request
+	// Lost is set if the server's side ended the connection, rather than fall silent or
+	// send bytes that are no response.
+	Lost bool
+	// Idle is set if the connection had been idle, so that the server may have closed it
+	// before the request arrived.
+	Idle  bool
 	Cause error
 }
 
@@ -126,15 +131,16 @@
 	if err != nil {
 		return nil, &Error{Cause: err}
 	}
+	idle := c.used
 	stop := context.AfterFunc(ctx, c.abort)
 	r := &Response{pool: p, server: s.ID, conn: c, stop: stop}
 	if r.pending, err = writeRequest(c, req); err != nil {
 		r.Abort()
-		return nil, &Error{Sent: r.pending.n > 0, Lost: true, Cause: err}
+		return nil, &Error{Sent: r.pending.n > 0, Lost: endedByPeer(err), Idle: idle, Cause: err}
 	}
 	if err := r.readHead(req); err != nil {
 		r.Abort()
-		return nil, &Error{Sent: true, Lost: c.lost, Cause: err}
+		return nil, &Error{Sent: true, Lost: c.lost, Idle: idle && c.received == 0, Cause: err}
 	}
 	return r, nil
 }
@@ -187,7 +193,7 @@
 // requests.
 func (r *Response) readHead(req *Request) error {
 	reused := r.conn.used
-	r.conn.used = true
+	r.conn.used, r.conn.received = true, 0
 	for skipped := 0; ; skipped++ {
 		resp, err := r.conn.readResponse(req.Method)
 		if err != nil {
@@ -215,8 +221,8 @@
 	}
 }
 
-// Lost reports whether the connection broke or ended while the body was read. If
-// reading failed without that, the server sent bytes that are no response.
+// Lost reports whether the server's side ended the connection while the body was read. If
+// reading failed without that, the server fell silent or sent bytes that are no response.
 func (r *Response) Lost() bool { return r.conn.lost }
 
 // Release returns the connection to the pool if it can be reused, and resets it
--- a/gateway/upstream/probe_test.go
+++ b/gateway/upstream/probe_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net"
+	"os"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -27,3 +31,18 @@
 	is.NoErr(l.Close())
 	is.Equal(p.Probe(ctx, s, 0), ListeningNo)
 }
+
+// Guards against taking a connection whose path is cut, so that it times out, for one that
+// the server's side has ended.
+func TestEndedByPeer_ConnectionThatTimedOutWasNot(t *testing.T) {
+	is := is.New(t)
+	read := func(err error) error {
+		return &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", err)}
+	}
+	for _, err := range []error{io.EOF, read(syscall.ECONNRESET), read(syscall.EPIPE), fmt.Errorf("head: %w", io.EOF)} {
+		is.True(endedByPeer(err))
+	}
+	for _, err := range []error{read(syscall.ETIMEDOUT), read(syscall.EHOSTUNREACH), os.ErrDeadlineExceeded, net.ErrClosed} {
+		is.True(!endedByPeer(err))
+	}
+}
