quarantine: requests with another query or method are other requests

Callers saw all lookups of their key refused on a route after a few connections broke: the fingerprint that is to recognise a request that comes again covered host, path, key and body, and lookups of different items differ in their query only. It covers the method and the query, too.

--- a/gateway/ingress/admit.go
+++ b/gateway/ingress/admit.go
@@ -62,7 +62,7 @@
 	if reject := q.readBody(w, r, view.Table.Limits().BodyBytes); reject != nil {
 		return nil, reject
 	}
-	q.subject.Fingerprint = quarantine.Fingerprint(r.Host, r.URL.Path, parsed.Key, q.body)
+	q.subject.Fingerprint = quarantine.Fingerprint(r.Method, r.Host, r.RequestURI, parsed.Key, q.body)
 	for _, p := range q.call.SharedParts() {
 		q.subject.Parts = append(q.subject.Parts, p.ID)
 	}
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -60,10 +60,11 @@
 	Parts       []uint64 // IDs of the parts of the prompt that other requests may share
 }
 
-// Fingerprint returns a hash of a request's host, path, API key and body.
-func Fingerprint(host, path, key string, body []byte) uint64 {
+// Fingerprint returns a hash of a request's method, host, target, which is its path and
+// query, API key and body.
+func Fingerprint(method, host, target, key string, body []byte) uint64 {
 	h := xxhash.New()
-	for _, s := range []string{host, path, key} {
+	for _, s := range []string{method, host, target, key} {
 		// Writing to a hash never returns an error.
 		_, _ = h.WriteString(s)
 		_, _ = h.Write([]byte{0})
