quarantine: refuse a request only while the evidence shows that it crashes servers

Runs that went well cleared the crashes only if their report arrived before the ban.

Now the threshold of three counts servers that accept no connections any more; several that fail at the same moment count once. Where servers go on listening, it takes five runs one after the other, on two servers, over the time that reports need, and none on a server that also lost the response to another request; such a ban holds for 20 s in place of a minute, and a lost response extends no stronger one. Bans carry the time of their earliest crash: a run of the request since then that ended well, seen anywhere and reported whenever, lifts the ban at all daemons, and what has crashed since is judged anew. The same holds for parts of prompts. The last runs that ended well are remembered, for reports of crashes that arrive after them.

--- a/gateway/eventlog/log.go
+++ b/gateway/eventlog/log.go
@@ -152,22 +152,23 @@
 // Quarantined implements quarantine.Log. It logs that requests are refused because
 // they crash servers. Parts have the names that they have in request lines.
 func (l *Log) Quarantined(b quarantine.Ban, crashes int) {
-	l.quarantine("quarantined", b.Parts).Str("fingerprint", strconv.FormatUint(b.Fingerprint, 16)).
-		Int("crashes", crashes).Msg("")
+	l.quarantine("quarantined", &b).Bool("servers_down", b.ServersDown).
+		Int64("since_ms", b.SinceMS).Int64("age_ms", b.AgeMS).Int("crashes", crashes).Msg("")
 }
 
-// QuarantineLifted implements quarantine.Log. It logs that a part does no harm.
-func (l *Log) QuarantineLifted(part uint64) {
-	l.quarantine("quarantine_lifted", []uint64{part}).Msg("")
+// QuarantineLifted implements quarantine.Log. It logs that a run has disproved a ban.
+func (l *Log) QuarantineLifted(b quarantine.Ban) {
+	l.quarantine("quarantine_lifted", &b).Msg("")
 }
 
-// quarantine returns a line about parts of prompts.
-func (l *Log) quarantine(event string, parts []uint64) *zerolog.Event {
-	keys := make([]cacheindex.PartKey, len(parts))
-	for i, p := range parts {
+// quarantine returns a line about what a ban names.
+func (l *Log) quarantine(event string, b *quarantine.Ban) *zerolog.Event {
+	keys := make([]cacheindex.PartKey, len(b.Parts))
+	for i, p := range b.Parts {
 		keys[i] = cacheindex.KeyOf(call.Part{ID: p})
 	}
-	return l.z.Warn().Str("event", event).Strs("parts", partNames(keys))
+	return l.z.Warn().Str("event", event).Strs("parts", partNames(keys)).
+		Str("fingerprint", strconv.FormatUint(b.Fingerprint, 16))
 }
 
 // partNames returns the short names of parts of prompts.
--- a/gateway/peers/check.go
+++ b/gateway/peers/check.go
@@ -91,7 +91,7 @@
 		}
 	}
 	for _, b := range n.Bans {
-		if !isAge(abs(b.AgeMS)) {
+		if !isAge(abs(b.AgeMS)) || !isAge(abs(b.SinceMS)) {
 			return false
 		}
 	}
--- a/gateway/quarantine/crash.go
+++ b/gateway/quarantine/crash.go
@@ -44,11 +44,19 @@
 		t.evict()
 	}
 	t.crashes[id] = c
+	t.recallCompleted(c.Fingerprint)
 	for _, b := range t.bans {
-		if b.covers(c.Fingerprint, c.Parts) && c.at.After(b.at) {
+		asStrong := c.ServerDown || !b.ServersDown
+		if asStrong && b.covers(c.Fingerprint, c.Parts) && c.at.After(b.at) {
 			b.at = c.at
 		}
 	}
+	t.judge(c)
+}
+
+// judge decides whether the crashes so far show what has caused the given one. t.mu is
+// held.
+func (t *Table) judge(c *crash) {
 	known := t.explanation()
 	if known.covers(c) {
 		return
@@ -62,6 +70,20 @@
 	}
 }
 
+// rejudge decides anew on the latest of the crashes that a lifted ban covered. t.mu is
+// held.
+func (t *Table) rejudge(lifted *Ban) {
+	var latest *crash
+	for _, c := range t.crashes {
+		if lifted.covers(c.Fingerprint, c.Parts) && (latest == nil || c.at.After(latest.at)) {
+			latest = c
+		}
+	}
+	if latest != nil {
+		t.judge(latest)
+	}
+}
+
 // explanation says which crashes are explained by a part that is banned.
 type explanation struct {
 	bans    []*ban          // those of parts
--- a/gateway/quarantine/gossip.go
+++ b/gateway/quarantine/gossip.go
@@ -26,7 +26,8 @@
 	Crashes []Crash
 	Bans    []Ban
 	Sound   []SoundPart
-	// Completed are requests that were interrupted by more than one crash.
+	// Completed are requests that were interrupted by more than one crash, or whose ban
+	// was disproved.
 	Completed []CompletedRequest
 }
 
@@ -49,6 +50,8 @@
 	_           struct{} `cbor:",toarray"`
 	Fingerprint uint64
 	Parts       []uint64 // sorted
+	ServersDown bool     // the crashes left servers that accept no connections
+	SinceMS     int64    // age of the earliest crash that it is based on
 	AgeMS       int64    // of the latest crash that it explains
 }
 
@@ -105,7 +108,7 @@
 		return c.AgeMS + relayTime.Milliseconds()
 	})
 	for _, b := range t.bans {
-		n.Bans = append(n.Bans, Ban{Fingerprint: b.Fingerprint, Parts: slices.Clone(b.Parts), AgeMS: now.Sub(b.at).Milliseconds()})
+		n.Bans = append(n.Bans, b.withAges(now))
 	}
 	n.Bans = mostRecent(n.Bans, maxSentBans, func(b Ban) int64 { return b.AgeMS })
 	for p, at := range t.sound {
@@ -117,7 +120,7 @@
 }
 
 // completedSuspects returns the requests that have run to their end although several
-// crashes have interrupted them. t.mu is held.
+// crashes have interrupted them or a ban named them. t.mu is held.
 func (t *Table) completedSuspects() []CompletedRequest {
 	if len(t.completed) == 0 {
 		return nil
@@ -128,9 +131,9 @@
 		runs[c.Fingerprint]++
 	}
 	var list []CompletedRequest
-	for fingerprint, at := range t.completed {
-		if runs[fingerprint] > 1 {
-			list = append(list, CompletedRequest{Fingerprint: fingerprint, AgeMS: now.Sub(at).Milliseconds()})
+	for fingerprint, c := range t.completed {
+		if runs[fingerprint] > 1 || c.disproof {
+			list = append(list, CompletedRequest{Fingerprint: fingerprint, AgeMS: now.Sub(c.at).Milliseconds()})
 		}
 	}
 	return list
@@ -156,7 +159,10 @@
 		t.setCompleted(c.Fingerprint, ago(c.AgeMS), relayDrift)
 	}
 	for _, b := range n.Bans {
-		t.ban(b, ago(b.AgeMS), 0)
+		if len(b.Parts) == 0 {
+			t.recallCompleted(b.Fingerprint)
+		}
+		t.ban(b, ago(b.SinceMS), ago(b.AgeMS), 0)
 	}
 	for _, c := range n.Crashes {
 		if _, known := t.crashes[c.ID]; known {
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -6,10 +6,13 @@
 // and other parts with the request that caused it, so crashes alone don't condemn a
 // part: it must have been at the start of a run in several crashes, one after the
 // other, of different servers and requests, without a run in which it did no harm.
-// It takes more crashes if the servers are not known to have gone down.
+// A server that has only lost a response looks much like one that has crashed, but still
+// accepts connections. Then it takes more runs, on servers that lose the responses to no
+// other requests, and the ban is short.
 //
 // Daemons send each other what they have observed and relay what they have received,
-// so that neither the size of the fleet nor the restart of a daemon loses it.
+// so that neither the size of the fleet nor the restart of a daemon loses it. A run that
+// disproves a ban lifts it at all daemons, also if its report arrives after the ban.
 package quarantine
 
 import (
@@ -30,15 +33,17 @@
 	// minOtherRequests is the number of these crashes that must remain if those
 	// with any one request are left out: that request may be the cause.
 	minOtherRequests = 2
-	// lostThreshold takes the place of partThreshold where servers still accept
+	// lostThreshold takes the place of the other thresholds where servers still accept
 	// connections. As one of them may be faulty, there must be minLostServers.
 	lostThreshold  = 5
 	minLostServers = 2
 
 	// requestTTL and partTTL are how long a request, or requests with a part, are
-	// refused after the latest crash.
+	// refused after the latest crash; lostTTL takes their place where servers still
+	// accept connections.
 	requestTTL = time.Minute
 	partTTL    = 5 * time.Minute
+	lostTTL    = 20 * time.Second
 	// crashTTL is how long a crash is remembered, and a later run in which a part did
 	// no harm. It is longer than a ban lasts, so that one crash renews the ban.
 	crashTTL = 10 * time.Minute
@@ -52,6 +57,9 @@
 	maxSound   = 4 * maxCrashes
 	// maxCompleted is the number of requests whose runs to the end are remembered.
 	maxCompleted = maxCrashes
+	// maxRecent is the number of runs to the end that a daemon remembers in case that
+	// another daemon's report of a crash of the request arrives after them.
+	maxRecent = 128
 )
 
 // Subject is what a request can be recognised by.
@@ -78,9 +86,9 @@
 	// Quarantined is called when a ban takes effect. crashes is the number of
 	// crashes that it is based on, 0 if another daemon has sent it.
 	Quarantined(b Ban, crashes int)
-	// QuarantineLifted is called when a run has shown that a part does no harm, so
-	// that a ban no longer names it.
-	QuarantineLifted(part uint64)
+	// QuarantineLifted is called when a run has disproved a ban. If the ban names
+	// parts, lifted names the one that does no harm; the ban applies without it.
+	QuarantineLifted(lifted Ban)
 }
 
 // Table decides which requests are refused. It is safe for concurrent use.
@@ -92,19 +100,34 @@
 	mu        sync.Mutex
 	crashes   map[uint64]*crash // by ID
 	bans      []*ban
-	sound     map[uint64]time.Time // latest run in which a part did no harm, for parts of crashes and bans
-	completed map[uint64]time.Time // latest run to the end of a request, by fingerprint, for those of crashes
+	sound     map[uint64]time.Time  // latest run in which a part did no harm, for parts of crashes and bans
+	completed map[uint64]completion // latest run to the end of a request, by fingerprint, for those of crashes and bans
+	recent    [maxRecent]recentRun  // latest runs to the end, observed by this daemon
+	next      int                   // index in recent of the next run
 }
 
-// ban is a Ban with the time of the latest crash that it explains.
+// ban is a Ban with the times of the earliest and of the latest crash that it explains.
 type ban struct {
 	Ban
-	at time.Time
+	since time.Time
+	at    time.Time
+}
+
+// completion is the latest run of a request to its end.
+type completion struct {
+	at       time.Time
+	disproof bool // a ban was lifted, or not adopted, because of it
+}
+
+// recentRun is a run of a request to its end.
+type recentRun struct {
+	fingerprint uint64
+	at          time.Time
 }
 
 // New returns an empty table.
 func New(now func() time.Time) *Table {
-	return &Table{now: now, crashes: make(map[uint64]*crash), sound: make(map[uint64]time.Time), completed: make(map[uint64]time.Time)}
+	return &Table{now: now, crashes: make(map[uint64]*crash), sound: make(map[uint64]time.Time), completed: make(map[uint64]completion)}
 }
 
 // ShouldRefuse reports whether a request must not run, or not run again.
@@ -131,27 +154,70 @@
 	}
 }
 
-// RecordCompleted records that a request ran to its end. It clears the crashes of the
-// request, unless the request is refused already.
+// RecordCompleted records that a request ran to its end. This clears the crashes of the
+// request so far, and lifts its ban.
 func (t *Table) RecordCompleted(s *Subject) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := t.now()
+	t.recent[t.next] = recentRun{fingerprint: s.Fingerprint, at: now}
+	t.next = (t.next + 1) % maxRecent
+	if t.requestSuspected(s.Fingerprint) {
+		t.setCompleted(s.Fingerprint, now, 0)
+	}
+}
+
+// requestSuspected reports whether a request belongs to a crash or a ban. t.mu is held.
+func (t *Table) requestSuspected(fingerprint uint64) bool {
 	for _, c := range t.crashes {
-		if c.Fingerprint == s.Fingerprint {
-			t.setCompleted(s.Fingerprint, t.now(), 0)
-			return
+		if c.Fingerprint == fingerprint {
+			return true
+		}
+	}
+	return slices.ContainsFunc(t.bans, func(b *ban) bool { return len(b.Parts) == 0 && b.Fingerprint == fingerprint })
+}
+
+// recallCompleted looks up when this daemon has seen the request run to its end before
+// it heard of a crash or a ban of the request. t.mu is held.
+func (t *Table) recallCompleted(fingerprint uint64) {
+	for _, r := range t.recent {
+		if r.fingerprint == fingerprint && r.at.After(t.completed[fingerprint].at) {
+			t.setCompleted(fingerprint, r.at, 0)
 		}
 	}
 }
 
 // setCompleted records that a request ran to its end at the given time, unless that is
-// known of a time that is less than minLater earlier. t.mu is held.
+// known of a time that is less than minLater earlier. If that disproves its ban, the ban is
+// lifted, and the crashes since are judged anew. t.mu is held.
 func (t *Table) setCompleted(fingerprint uint64, at time.Time, minLater time.Duration) {
 	known, ok := t.completed[fingerprint]
-	if !ok && len(t.completed) >= maxCompleted || at.Sub(known) < minLater {
+	if !ok && len(t.completed) >= maxCompleted || at.Sub(known.at) < minLater {
+		return
+	}
+	t.completed[fingerprint] = completion{at: at, disproof: known.disproof}
+	i := slices.IndexFunc(t.bans, func(b *ban) bool { return len(b.Parts) == 0 && b.Fingerprint == fingerprint })
+	if i < 0 || !t.disproved(t.bans[i]) {
 		return
 	}
-	t.completed[fingerprint] = at
+	b := t.bans[i]
+	t.bans = slices.Delete(t.bans, i, i+1)
+	if t.Log != nil {
+		t.Log.QuarantineLifted(b.Ban)
+	}
+	t.rejudge(&b.Ban)
+}
+
+// disproved reports whether the request of a ban has run to its end since the earliest of
+// the crashes that the ban is based on. t.mu is held.
+func (t *Table) disproved(b *ban) bool {
+	c, ok := t.completed[b.Fingerprint]
+	if len(b.Parts) > 0 || !ok || !c.at.After(b.since) {
+		return false
+	}
+	c.disproof = true
+	t.completed[b.Fingerprint] = c
+	return true
 }
 
 // suspected reports whether a part belongs to a crash or a ban. t.mu is held.
@@ -173,30 +239,42 @@
 		return
 	}
 	t.sound[part] = at
+	var lifted []Ban
 	t.bans = slices.DeleteFunc(t.bans, func(b *ban) bool {
+		before := Ban{Parts: slices.Clone(b.Parts)}
 		if b.dropSound(t.sound) && t.Log != nil {
-			t.Log.QuarantineLifted(part)
+			t.Log.QuarantineLifted(Ban{Parts: []uint64{part}})
+		}
+		if b.empty() {
+			lifted = append(lifted, before)
 		}
 		return b.empty()
 	})
+	for i := range lifted {
+		t.rejudge(&lifted[i])
+	}
 }
 
-// ban refuses requests from now on because of a crash at the given time, or extends
-// a ban that exists. A ban that later runs have disproved is not added. crashes is
-// the number of crashes that it is based on, for the log. t.mu is held.
-func (t *Table) ban(b Ban, at time.Time, crashes int) {
+// ban refuses requests from now on because of crashes, or extends a ban that exists. A
+// ban that other runs have disproved is not added. crashes is the number of crashes that
+// it is based on, for the log; 0 if another daemon has sent it. t.mu is held.
+func (t *Table) ban(b Ban, since, at time.Time, crashes int) {
+	t.expireBans()
 	for _, old := range t.bans {
 		if !old.equal(&b) {
 			continue
 		}
-		if at.Sub(old.at) >= relayDrift {
+		if b.ServersDown && !old.ServersDown {
+			old.ServersDown, old.since, old.at = true, since, at
+		}
+		if at.Sub(old.at) >= relayDrift && b.ServersDown == old.ServersDown {
 			old.at = at
 		}
 		return
 	}
-	added := &ban{Ban: Ban{Fingerprint: b.Fingerprint, Parts: slices.Clone(b.Parts)}, at: at}
+	added := &ban{Ban: Ban{Fingerprint: b.Fingerprint, Parts: slices.Clone(b.Parts), ServersDown: b.ServersDown}, since: since, at: at}
 	added.dropSound(t.sound)
-	if added.empty() || !added.active(t.now()) {
+	if added.empty() || !added.active(t.now()) || t.disproved(added) {
 		return
 	}
 	if len(t.bans) >= maxBans {
@@ -204,7 +282,7 @@
 	}
 	t.bans = append(t.bans, added)
 	if t.Log != nil {
-		t.Log.Quarantined(added.Ban, crashes)
+		t.Log.Quarantined(added.withAges(t.now()), crashes)
 	}
 }
 
@@ -216,25 +294,42 @@
 			delete(t.crashes, id)
 		}
 	}
+	t.expireBans()
+	maps.DeleteFunc(t.sound, func(_ uint64, at time.Time) bool { return now.Sub(at) >= crashTTL })
+	maps.DeleteFunc(t.completed, func(_ uint64, c completion) bool { return now.Sub(c.at) >= crashTTL })
+}
+
+// expireBans removes the bans that no longer apply. t.mu is held.
+func (t *Table) expireBans() {
+	now := t.now()
 	t.bans = slices.DeleteFunc(t.bans, func(b *ban) bool { return !b.active(now) })
-	old := func(_ uint64, at time.Time) bool { return now.Sub(at) >= crashTTL }
-	maps.DeleteFunc(t.sound, old)
-	maps.DeleteFunc(t.completed, old)
+}
+
+// withAges returns the ban with its ages at the given time.
+func (b *ban) withAges(now time.Time) Ban {
+	aged := b.Ban
+	aged.Parts = slices.Clone(b.Parts)
+	aged.SinceMS, aged.AgeMS = now.Sub(b.since).Milliseconds(), now.Sub(b.at).Milliseconds()
+	return aged
 }
 
 // active reports whether the ban applies at the given time.
 func (b *ban) active(now time.Time) bool {
 	ttl := requestTTL
-	if len(b.Parts) > 0 {
+	switch {
+	case !b.ServersDown:
+		ttl = lostTTL
+	case len(b.Parts) > 0:
 		ttl = partTTL
 	}
 	return now.Sub(b.at) < ttl
 }
 
-// dropSound removes the parts that did no harm after the latest crash, and reports
-// whether there were any.
+// dropSound removes the parts that did no harm since the earliest crash, and reports
+// whether there were any. A run that ended just after that crash may have begun before the
+// part did harm, as its time has passed through other daemons.
 func (b *ban) dropSound(sound map[uint64]time.Time) bool {
 	n := len(b.Parts)
-	b.Parts = slices.DeleteFunc(b.Parts, func(p uint64) bool { return sound[p].After(b.at) })
+	b.Parts = slices.DeleteFunc(b.Parts, func(p uint64) bool { return sound[p].After(b.since.Add(relayDrift)) })
 	return len(b.Parts) < n
 }
--- a/gateway/quarantine/sequence.go
+++ b/gateway/quarantine/sequence.go
@@ -34,20 +34,27 @@
 	return nearest
 }
 
-// serverCrashes returns how many times a server has crashed in the course of these
-// runs: those that one crash has interrupted count once.
-func serverCrashes(runs []*crash) int {
-	sortByTime(runs)
+// sameMoment is the time within which the reports of servers that fail together may
+// deviate from each other.
+const sameMoment = 250 * time.Millisecond
+
+// serverCrashes returns the runs, which are sorted by time, that a crash of a server has
+// interrupted, one for each crash. Several servers that crash at the same moment count
+// once, as they fail for another reason, unless the runs were one after the other.
+func serverCrashes(runs []*crash) []*crash {
 	latest := make(map[uint32]*crash) // by server
-	n := 0
+	var list []*crash
 	for _, c := range runs {
-		if earlier := latest[c.Server]; earlier != nil && !c.begunAfter(earlier) {
+		if earlier := latest[c.Server]; earlier != nil && (!c.begunAfter(earlier) || stillDown(earlier, c)) {
 			continue
 		}
 		latest[c.Server] = c
-		n++
+		if n := len(list); n > 0 && !c.begunAfter(list[n-1]) && c.at.Sub(list[n-1].at) < sameMoment {
+			continue
+		}
+		list = append(list, c)
 	}
-	return n
+	return list
 }
 
 // sortByTime sorts crashes by their time in place.
@@ -91,6 +98,14 @@
 	return list
 }
 
+// span returns the time from the first to the last of the crashes, which are sorted by time.
+func span(crashes []*crash) time.Duration {
+	if len(crashes) == 0 {
+		return 0
+	}
+	return crashes[len(crashes)-1].at.Sub(crashes[0].at)
+}
+
 // numServers returns the number of servers of the crashes.
 func numServers(crashes []*crash) int {
 	servers := make(map[uint32]bool)
