ingress: bound what all requests hold of responses together

A faulty server that sends much and then a byte now and then could end the process, and the requests of everyone on it: each response was within its limit, but their sum had none, and heads of many short lines took some 15 times their size.

What requests hold (heads, buffered bodies, incomplete events, errors kept for the case that no other server answers) is counted in one budget for the process, 15 % of its memory, as that of request bodies, whose counter it replaces. The first 16 KiB of each request are not counted, and one service gets at most as much as remains free, so that others find room. When it is full, a response is forwarded as it arrives in place of being buffered, which costs it the retry at another server only; a stream with an event that does not fit is resumed elsewhere where the route allows it, and otherwise is broken off, as a head that does not fit, with the reason response_memory: 502, never 503, since it may have run. Heads are parsed when they are complete, and have at most 256 lines.

Tests: memory, ingress -run Memory, sse -run ReturnsMemory, upstream -run ManyLines, each seen to fail with its part taken out; soak -run FloodsStayWithinMemory fails on the code as found, -soak.floods plays each kind by itself.

--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -31,6 +31,7 @@
 	"cassialatch.dev/gateway/health"
 	"cassialatch.dev/gateway/ingress"
 	"cassialatch.dev/gateway/load"
+	"cassialatch.dev/gateway/memory"
 	"cassialatch.dev/gateway/metrics"
 	"cassialatch.dev/gateway/peers"
 	"cassialatch.dev/gateway/quarantine"
@@ -67,6 +68,9 @@
 	// bodyMemoryRatio is the part of Settings.MemoryBytes for callers' request
 	// bodies. A body that is being sent takes twice its size.
 	bodyMemoryRatio = 0.15
+	// responseMemoryRatio is the part of Settings.MemoryBytes for what is held of the
+	// responses of servers.
+	responseMemoryRatio = 0.15
 )
 
 // Daemon is a gateway process: it serves callers and exchanges its state with
@@ -141,7 +145,9 @@
 		CacheIndex:      d.cacheIndex,
 		FleetSize:       d.peers.FleetSize,
 		Recorder:        d,
-		Settings:        ingress.Settings{Zone: s.Zone, KeyLease: s.KeyLease, ConfigLag: s.ConfigLag, BodyBytes: int64(float64(s.MemoryBytes) * bodyMemoryRatio)},
+		Settings:        ingress.Settings{Zone: s.Zone, KeyLease: s.KeyLease, ConfigLag: s.ConfigLag},
+		Bodies:          memory.NewBudget(int64(float64(s.MemoryBytes) * bodyMemoryRatio)),
+		Responses:       memory.NewBudget(int64(float64(s.MemoryBytes) * responseMemoryRatio)),
 		Draining:        d.drainTimeLeft,
 		TriggerExchange: triggerExchange,
 		CachesKnown:     d.scanner.Done(),
--- a/gateway/ingress/admit.go
+++ b/gateway/ingress/admit.go
@@ -55,6 +55,7 @@
 		return nil, notRun(ReasonNoServer, noServerRetryAfter)
 	}
 	rec.Service = q.service.Name
+	rec.response = h.Responses.Open(q.service.Name, uncountedResponseBytes)
 	if shared := q.call.SharedParts(); len(shared) > 0 {
 		rec.PromptKey = cacheindex.KeyOf(shared[len(shared)-1])
 	}
--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -9,6 +9,7 @@
 	"cassialatch.dev/gateway/cacheindex"
 	"cassialatch.dev/gateway/call"
 	"cassialatch.dev/gateway/catalog"
+	"cassialatch.dev/gateway/memory"
 	"cassialatch.dev/gateway/route"
 	"cassialatch.dev/gateway/upstream"
 )
@@ -52,6 +53,7 @@
 	if chosen.source != nil {
 		a.FetchedFrom = chosen.source.ID
 	}
+	q.releaseResponse()
 	resp, err := q.h.Pool.Send(ctx, s, q.upstreamRequest(s, chosen.source))
 	if err != nil {
 		return q.handleSendError(ctx, s, a, err)
@@ -112,6 +114,7 @@
 		Header:   q.h.Dialect.OutboundHeader(q.header, attempt),
 		Body:     q.body,
 		MaxConns: q.maxConns(),
+		Memory:   &q.rec.response,
 	}
 }
 
@@ -137,6 +140,9 @@
 		return true
 	}
 	q.mayHaveRun = true
+	if errors.Is(err, memory.ErrFull) {
+		return q.handleNoMemory(a)
+	}
 	a.Reason = ReasonConnectionBroken
 	if ctx.Err() != nil {
 		a.Reason = interruptReason(ctx)
@@ -178,6 +184,14 @@
 	return q.handleFailure(s, a, ReasonConnectionBroken, err.Error())
 }
 
+// handleNoMemory handles a response that can't be held because responses to other requests
+// take the memory, which is no failure of the server. It returns whether another server may be
+// tried.
+func (q *request) handleNoMemory(a *Attempt) bool {
+	a.Reason = ReasonResponseMemory
+	return q.route.Repeatable()
+}
+
 // handleFailure handles an attempt whose response can't be used. It returns
 // whether another server may be tried.
 func (q *request) handleFailure(s *catalog.Server, a *Attempt, reason Reason, detail string) bool {
--- a/gateway/ingress/body_test.go
+++ b/gateway/ingress/body_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"cassialatch.dev/gateway/memory"
 )
 
 // rawCaller is a caller that sends requests byte by byte.
@@ -72,10 +74,10 @@
 			is := is.New(t)
 			b := startBackend(t, respondOK)
 			f := newFixture(t, b)
-			f.handler.Settings.BodyBytes = 64 << 10
+			f.handler.Bodies = memory.NewBudget(64 << 10)
 			slow := f.dialRaw(t)
 			slow.send(fmt.Sprintf("Content-Length: %d", size), body[1:])
-			for f.handler.bodies.used.Load() == 0 {
+			for f.handler.Bodies.Used() == 0 {
 				time.Sleep(time.Millisecond)
 			}
 
@@ -90,7 +92,7 @@
 			_, err := io.WriteString(slow.conn, "x") // its last byte
 			is.NoErr(err)
 			is.Equal(slow.receive(), http.StatusOK)
-			for f.handler.bodies.used.Load() != 0 {
+			for f.handler.Bodies.Used() != 0 {
 				time.Sleep(time.Millisecond)
 			}
 			another := f.dialRaw(t)
--- a/gateway/ingress/fixture_test.go
+++ b/gateway/ingress/fixture_test.go
@@ -21,6 +21,7 @@
 	"cassialatch.dev/gateway/catalog"
 	"cassialatch.dev/gateway/health"
 	"cassialatch.dev/gateway/load"
+	"cassialatch.dev/gateway/memory"
 	"cassialatch.dev/gateway/quarantine"
 	"cassialatch.dev/gateway/retry"
 	"cassialatch.dev/gateway/route"
@@ -229,6 +230,8 @@
 		FleetSize:       func() int { return 1 },
 		Recorder:        f.records,
 		Settings:        Settings{KeyLease: 5 * time.Second},
+		Bodies:          memory.NewBudget(0),
+		Responses:       memory.NewBudget(0),
 		TriggerExchange: func() {},
 		CachesKnown:     cachesKnown,
 		Draining:        func() (time.Duration, bool) { return 0, false },
--- a/gateway/ingress/handler.go
+++ b/gateway/ingress/handler.go
@@ -24,6 +24,7 @@
 	"cassialatch.dev/gateway/catalog"
 	"cassialatch.dev/gateway/health"
 	"cassialatch.dev/gateway/load"
+	"cassialatch.dev/gateway/memory"
 	"cassialatch.dev/gateway/quarantine"
 	"cassialatch.dev/gateway/retry"
 	"cassialatch.dev/gateway/route"
@@ -40,9 +41,6 @@
 	// daemon whose configuration was not confirmed for longer does not refuse
 	// requests by it; 0 means without limit.
 	ConfigLag time.Duration
-	// BodyBytes is the memory for the request bodies that are held at once; 0
-	// means without limit.
-	BodyBytes int64
 }
 
 // Recorder receives the record of each request when the request has ended. It
@@ -76,13 +74,16 @@
 	// request that is admitted now may take.
 	Draining func() (left time.Duration, draining bool)
 
-	bodies bodyBudget
+	// Bodies is the memory for the request bodies that are held at once, and Responses
+	// that for what is held of the responses of servers.
+	Bodies    *memory.Budget
+	Responses *memory.Budget
 }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	rec := &Record{Start: time.Now(), Host: r.Host, Path: r.URL.Path}
-	rec.body = bodyMemory{budget: &h.bodies, limit: h.Settings.BodyBytes}
+	rec.body = h.Bodies.Open("", uncountedBodyBytes)
 	defer func() { h.end(w, rec, recover()) }()
 	q, reject := h.admit(w, r, rec)
 	w = &connHeaderWriter{ResponseWriter: w, h: h}
@@ -112,7 +113,8 @@
 		abort = !rec.endPanicked(w, panicked)
 	}
 	rec.end()
-	rec.body.release()
+	rec.body.Close()
+	rec.response.Close()
 	h.Recorder.Record(rec)
 	if abort {
 		panic(http.ErrAbortHandler)
--- a/gateway/ingress/plain.go
+++ b/gateway/ingress/plain.go
@@ -1,8 +1,8 @@
 package ingress
 
 import (
-	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -12,10 +12,16 @@
 	"cassialatch.dev/gateway/upstream"
 )
 
-// maxBufferedBytes is the maximum size of a response that is buffered before
-// it is forwarded. While it is buffered, another server can still be tried.
-// Every request in flight may hold that much.
-const maxBufferedBytes = 256 << 10
+const (
+	// maxBufferedBytes is the maximum size of a response that is buffered before
+	// it is forwarded. While it is buffered, another server can still be tried.
+	maxBufferedBytes = 256 << 10
+	// firstBufferBytes is the initial size of the buffer.
+	firstBufferBytes = 512
+	// copyBufferBytes is the size of the buffer for a response that is forwarded as it
+	// arrives.
+	copyBufferBytes = 4 << 10
+)
 
 // bufferedResponse is a complete response of a server.
 type bufferedResponse struct {
@@ -36,16 +42,50 @@
 	_, _ = w.Write(b.body)
 }
 
+// buffer reads a response up to maxBufferedBytes, and no further than there is memory for.
+// It returns whether it has reached the end.
+func (q *request) buffer(body io.Reader) (read []byte, whole bool, err error) {
+	read = make([]byte, 0, firstBufferBytes)
+	for {
+		if len(read) == cap(read) {
+			size := min(2*cap(read), maxBufferedBytes)
+			if size == cap(read) || q.rec.response.Grow(int64(size-cap(read))) != nil {
+				return read, false, nil
+			}
+			read = append(make([]byte, 0, size), read...)
+		}
+		n, err := body.Read(read[len(read):cap(read)])
+		read = read[:len(read)+n]
+		if errors.Is(err, io.EOF) {
+			return read, true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+	}
+}
+
+// releaseResponse ends the count of what was held of responses, but for one that may still
+// be forwarded.
+func (q *request) releaseResponse() {
+	held := int64(0)
+	if q.failedResponse != nil {
+		held = int64(cap(q.failedResponse.body))
+	}
+	// A smaller size is never refused.
+	_ = q.rec.response.Resize(held)
+}
+
 // forwardPlain reads a response that is not a stream to its end and then forwards
-// it, unless it is too large to be buffered. It returns whether another server may
-// be tried.
+// it, unless it is too large to be buffered or there is no memory for it: then it is
+// forwarded as it arrives. It returns whether another server may be tried.
 func (q *request) forwardPlain(ctx context.Context, w http.ResponseWriter, s *catalog.Server, a *Attempt, resp *upstream.Response) bool {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
+	body, whole, err := q.buffer(resp.Body)
 	if err != nil {
 		resp.Abort()
 		return q.handleBrokenBody(ctx, s, a, resp, err)
 	}
-	if len(body) > maxBufferedBytes {
+	if !whole {
 		return q.forwardLarge(ctx, w, s, a, resp, body)
 	}
 	resp.Release()
@@ -65,7 +105,7 @@
 	return false
 }
 
-// forwardLarge forwards a response that is too large to be buffered, as it
+// forwardLarge forwards a response that can't be buffered, as it
 // arrives; start is what was read of its body. A server error is not forwarded
 // where another server may be tried. It returns whether one may be.
 func (q *request) forwardLarge(ctx context.Context, w http.ResponseWriter, s *catalog.Server, a *Attempt, resp *upstream.Response, start []byte) bool {
@@ -73,7 +113,7 @@
 	failed := resp.Status >= http.StatusInternalServerError
 	if failed && q.route.Repeatable() {
 		resp.Abort()
-		return q.handleFailure(s, a, ReasonServerError, "response too large to be buffered")
+		return q.handleFailure(s, a, ReasonServerError, "response can't be buffered")
 	}
 	if q.headerWritten {
 		resp.Abort()
@@ -81,7 +121,12 @@
 	}
 	q.writeHeader(w, resp)
 	out := &callerWriter{w: w}
-	_, err := io.Copy(out, io.MultiReader(bytes.NewReader(start), resp.Body))
+	_, err := out.Write(start)
+	if err == nil {
+		start = nil
+		q.releaseResponse()
+		_, err = io.CopyBuffer(out, resp.Body, make([]byte, copyBufferBytes))
+	}
 	if out.failed {
 		resp.Abort()
 		q.abortUnwritable(err)
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cassialatch.dev/gateway/cacheindex"
+	"cassialatch.dev/gateway/memory"
 	"cassialatch.dev/gateway/placement"
 	"cassialatch.dev/gateway/upstream"
 )
@@ -40,8 +41,9 @@
 	ReasonWorkspaceChanged Reason = "workspace_changed" // the key was given to another workspace since the request was admitted
 	ReasonBodyTooLarge     Reason = "body_too_large"
 	ReasonBodyUnreadable   Reason = "body_broken"
-	ReasonBodyTimeout      Reason = "body_timeout" // the deadline came before the whole body
-	ReasonBodyMemory       Reason = "body_memory"  // the bodies of other requests take the memory
+	ReasonBodyTimeout      Reason = "body_timeout"    // the deadline came before the whole body
+	ReasonBodyMemory       Reason = "body_memory"     // the bodies of other requests take the memory
+	ReasonResponseMemory   Reason = "response_memory" // the responses to other requests take the memory
 	ReasonCrashesServers   Reason = "crashes_servers"
 	ReasonDraining         Reason = "daemon_draining"
 	ReasonStopped          Reason = "daemon_stopped" // the drain ended before the request did
@@ -106,7 +108,8 @@
 	CrashParts    []cacheindex.PartKey // shared parts of the prompt, in order, if a connection broke while a server ran the request
 	Panic         *Panic               // nil unless the handler panicked
 
-	body bodyMemory // released when the request ends
+	body     memory.Account // the request's body
+	response memory.Account // what is held of responses
 }
 
 // Panic describes an unexpected panic of the handler.
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -24,6 +24,7 @@
 		resp.Abort()
 		return q.handleFailure(s, a, ReasonServerError, "response of another type does not continue the stream")
 	}
+	held := q.rec.response.Size()
 	var events sse.Splitter
 	buf := make([]byte, streamBufferBytes)
 	for {
@@ -38,6 +39,10 @@
 				resp.Abort()
 				return q.handleFailure(s, a, ReasonConnectionBroken, tooLarge.Error())
 			}
+			if q.rec.response.Resize(held+int64(events.Size())) != nil {
+				resp.Abort()
+				return q.handleNoMemory(a)
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			return q.finishStream(ctx, w, s, a, resp, &events)
--- a/gateway/sse/sse.go
+++ b/gateway/sse/sse.go
@@ -11,6 +11,9 @@
 // complete.
 const MaxEventBytes = 256 << 10
 
+// maxKeptBytes is the size up to which a Splitter keeps a buffer that it does not need.
+const maxKeptBytes = 8 << 10
+
 // ErrEventTooLarge is returned by Write if an event exceeds MaxEventBytes.
 var ErrEventTooLarge = errors.New("sse: event exceeds the size limit")
 
@@ -49,13 +52,20 @@
 
 // Discard removes the events that Complete returned.
 func (s *Splitter) Discard() {
-	n := copy(s.buf, s.buf[s.next:])
-	s.buf = s.buf[:n]
+	rest := s.buf[s.next:]
+	if cap(s.buf) > maxKeptBytes && len(rest) <= maxKeptBytes/2 {
+		s.buf = append([]byte(nil), rest...)
+	} else {
+		s.buf = s.buf[:copy(s.buf, rest)]
+	}
 	s.end -= s.next
 	s.scanned -= s.next
 	s.next = 0
 }
 
+// Size returns how much memory the buffer takes, in bytes.
+func (s *Splitter) Size() int { return cap(s.buf) }
+
 // Incomplete returns the buffered bytes after the events that Complete returned.
 func (s *Splitter) Incomplete() []byte { return s.buf[s.next:] }
 
--- a/gateway/sse/sse_test.go
+++ b/gateway/sse/sse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -123,3 +124,19 @@
 		}
 	}
 }
+
+// Guards against a stream that keeps, until its end, the memory that one large event took.
+func TestSplitter_ReturnsMemoryOfLargeEvent(t *testing.T) {
+	is := is.New(t)
+	var s Splitter
+	is.NoErr(s.Write([]byte("data: " + strings.Repeat("x", MaxEventBytes-10))))
+	is.NoErr(s.Write([]byte("\n\nid: 7\ndata")))
+	events, _ := s.Complete()
+	is.True(len(events) > MaxEventBytes-10)
+	s.Discard()
+	is.True(s.Size() <= maxKeptBytes)
+	is.NoErr(s.Write([]byte(": y\n\n")))
+	events, lastID := s.Complete()
+	is.Equal(string(events), "id: 7\ndata: y\n\n")
+	is.Equal(lastID, "7")
+}
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"cassialatch.dev/gateway/memory"
 )
 
 const (
@@ -26,9 +28,18 @@
 	readBufferSize    = 2 << 10
 )
 
-// maxHeadBytes is the maximum size of a response head with the informational
-// responses before it.
-const maxHeadBytes = 64 << 10
+const (
+	// maxHeadBytes is the maximum size of a response head with the informational
+	// responses before it.
+	maxHeadBytes = 64 << 10
+	// maxHeadLines is the maximum number of lines of a response head.
+	maxHeadLines = 256
+	// lineOverhead is how much memory a line of a head takes beside its bytes once it is
+	// parsed.
+	lineOverhead = 128
+	// maxKeptHead is the size up to which the buffer for heads is kept with a connection.
+	maxKeptHead = 2 << 10
+)
 
 // ErrHeadTooLarge is the cause of an Error if the response head is too large.
 var ErrHeadTooLarge = errors.New("upstream: response head exceeds the size limit")
@@ -37,7 +48,9 @@
 type conn struct {
 	tcp       *net.TCPConn
 	br        *bufio.Reader // reads from Read, which applies readLimit
-	readLimit int64         // bytes that Read may still return
+	readLimit int64         // bytes that may still be read from tcp
+	head      []byte        // of the latest response, before it is parsed
+	unparsed  []byte        // bytes that were read for the head, and come first in Read
 	received  int64         // bytes read since the last request was sent
 	lost      bool          // the server's side has ended the connection
 	used      bool          // a request was sent on it
@@ -69,6 +82,11 @@
 // Read implements io.Reader. It returns ErrHeadTooLarge once the read limit is
 // used up.
 func (c *conn) Read(p []byte) (int, error) {
+	if len(c.unparsed) > 0 {
+		n := copy(p, c.unparsed)
+		c.unparsed = c.unparsed[n:]
+		return n, nil
+	}
 	if c.readLimit <= 0 {
 		return 0, ErrHeadTooLarge
 	}
@@ -92,15 +110,17 @@
 
 // readResponse reads the head of the next final response and skips informational
 // (1xx) responses before it. All of these may have maxHeadBytes, beside what is in
-// the buffer already. The limit does not apply to the body.
-func (c *conn) readResponse(method string) (*http.Response, error) {
+// the buffer already. The limit does not apply to the body. What the head takes is added
+// to m.
+func (c *conn) readResponse(method string, m *memory.Account) (*http.Response, error) {
 	c.readLimit = maxHeadBytes
 	defer func() { c.readLimit = math.MaxInt64 }()
 	for {
+		if err := c.readHead(m); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
 		switch {
-		case err != nil && c.readLimit <= 0:
-			return nil, ErrHeadTooLarge // net/http may report the line that was cut instead
 		case err != nil:
 			return nil, err
 		case resp.StatusCode < http.StatusContinue || resp.StatusCode == http.StatusSwitchingProtocols:
@@ -111,6 +131,55 @@
 	}
 }
 
+// readHead reads the bytes of a response head up to the empty line, and lets the next reads
+// return them. A head is parsed only when it is complete, as it takes much more memory then.
+func (c *conn) readHead(m *memory.Account) error {
+	c.head = c.head[:0]
+	if cap(c.head) > maxKeptHead {
+		c.head = nil
+	}
+	for lines, lineStart := 0, 0; ; {
+		part, err := c.br.ReadSlice('\n')
+		if memoryErr := m.Grow(2*int64(len(part)) + lineOverhead); memoryErr != nil {
+			return memoryErr
+		}
+		c.head = append(c.head, part...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case err != nil:
+			return headError(err, len(c.head))
+		}
+		if lines++; lines > maxHeadLines {
+			return ErrHeadTooLarge
+		}
+		if line := c.head[lineStart:]; len(line) == 1 || len(line) == 2 && line[0] == '\r' {
+			break
+		}
+		lineStart = len(c.head)
+	}
+	rest, err := c.br.Peek(c.br.Buffered())
+	if err != nil {
+		return err
+	}
+	c.head = append(c.head, rest...)
+	c.unparsed = c.head
+	c.br.Reset(c)
+	return nil
+}
+
+// headError returns the error for a head that ended after n bytes because of err.
+func headError(err error, n int) error {
+	if errors.Is(err, io.EOF) && n > 0 {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// unread reports whether bytes have been read from the connection that belong to no
+// response yet.
+func (c *conn) unread() bool { return len(c.unparsed) > 0 || c.br.Buffered() > 0 }
+
 // setUserTimeout sets TCP_USER_TIMEOUT. It implements net.Dialer.Control.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var optErr error
@@ -128,7 +197,7 @@
 // data. Data that arrives while no request is in flight belongs to no response,
 // so such a connection must not be reused.
 func (c *conn) usable() bool {
-	if c.br.Buffered() > 0 {
+	if c.unread() {
 		return false
 	}
 	raw, err := c.tcp.SyscallConn()
--- a/gateway/upstream/endless_test.go
+++ b/gateway/upstream/endless_test.go
@@ -322,3 +322,11 @@
 		})
 	}
 }
+
+// Guards against heads of many short lines, which take far more memory than their bytes as
+// long as the body lasts.
+func TestSend_RejectsHeadOfManyLines(t *testing.T) {
+	is := is.New(t)
+	err := sendToFlood(t, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n"+headerLines(maxHeadLines)+"\r\n", "")
+	is.True(errors.Is(err, ErrHeadTooLarge))
+}
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -13,6 +13,7 @@
 
 	"cassialatch.dev/gateway/call"
 	"cassialatch.dev/gateway/catalog"
+	"cassialatch.dev/gateway/memory"
 )
 
 // ErrTooManyConns is returned when the pool already holds Request.MaxConns
@@ -93,6 +94,10 @@
 	Header   http.Header
 	Body     []byte
 	MaxConns int // limit of this daemon's connections to the server; 0: no limit
+	// Memory is what the request holds of responses; what their heads take is added. A
+	// head for which it has no room is an Error with the cause memory.ErrFull. It may be
+	// nil.
+	Memory *memory.Account
 }
 
 // Response is the head of a backend server's response and a reader of its body.
@@ -192,10 +197,14 @@
 // readHead reads the head of the response to req. It skips responses to other
 // requests.
 func (r *Response) readHead(req *Request) error {
+	held := req.Memory
+	if held == nil {
+		held = new(memory.Account)
+	}
 	reused := r.conn.used
 	r.conn.used, r.conn.received = true, 0
 	for skipped := 0; ; skipped++ {
-		resp, err := r.conn.readResponse(req.Method)
+		resp, err := r.conn.readResponse(req.Method, held)
 		if err != nil {
 			return err
 		}
@@ -247,7 +256,7 @@
 	default:
 		return false // the server responded before it had read the whole request
 	}
-	if r.pending.err != nil || r.resp.Close || !r.Framed || r.conn.br.Buffered() > 0 {
+	if r.pending.err != nil || r.resp.Close || !r.Framed || r.conn.unread() {
 		return false
 	}
 	return !strings.EqualFold(r.Header.Get("Connection"), "close")
--- a/tests/soak/fleet_test.go
+++ b/tests/soak/fleet_test.go
@@ -107,7 +107,7 @@
 	dir := logDir(t)
 	for i := range *daemons {
 		ip := daemonIP(slot, i)
-		d := newDaemon(t, dir, ip, i, newProxy(t, strings.TrimPrefix(store.URL, "http://")), slot, grace)
+		d := newDaemon(t, dir, ip, i, newProxy(t, strings.TrimPrefix(store.URL, "http://")), slot, grace, 284)
 		d.disturbances = &f.disturbances
 		f.daemons = append(f.daemons, d)
 	}
@@ -142,8 +142,9 @@
 	return dir
 }
 
-// newDaemon writes the settings of a daemon. The process is started by supervise.
-func newDaemon(t *testing.T, dir, ip string, i int, store *proxy, slot int, grace time.Duration) *daemon {
+// newDaemon writes the settings of a daemon. The process is started by supervise, without the
+// memory limit that the settings state.
+func newDaemon(t *testing.T, dir, ip string, i int, store *proxy, slot int, grace time.Duration, memoryMB int) *daemon {
 	at := func(port int) string { return net.JoinHostPort(ip, fmt.Sprint(port)) }
 	seed := fmt.Sprintf("%s:%d", daemonIP(slot, 0), controlPort)
 	raw, err := json.Marshal(map[string]any{
@@ -152,7 +153,7 @@
 			"control": at(controlPort), "directory": at(directoryPort)},
 		"portRange": []int{exchangePort, exchangePort + 15},
 		"seeds":     []string{seed},
-		"limits":    map[string]any{"cpuShare": 0.4, "cores": 1, "memoryMb": 284},
+		"limits":    map[string]any{"cpuShare": 0.4, "cores": 1, "memoryMb": memoryMB},
 		"bounds": map[string]any{"graceS": grace.Seconds(), "failClosed": true, "revokeMs": revokeBound.Milliseconds(),
 			"configApplyMs": applyBound.Milliseconds(), "retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 58},
 		"platform": map[string]string{"address": store.address()},
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -28,6 +28,7 @@
 	daemons           = flag.Int("soak.daemons", 4, "number of gateways for each seed")
 	servers           = flag.Int("soak.servers", 4, "number of backend servers for each seed")
 	callers           = flag.Int("soak.callers", 8, "number of callers for each seed")
+	floodEach         = flag.Bool("soak.floods", false, "whether to send each flood by itself, too")
 	persistentCallers = flag.Int("soak.persistent", 160, "number of callers for each seed that keep a connection with long pauses")
 )
 
