--- a/gateway/ingress/admit.go
+++ b/gateway/ingress/admit.go
@@ -55,6 +55,7 @@
 		return nil, notRun(ReasonNoServer, noServerRetryAfter)
 	}
 	rec.Service = q.service.Name
+	rec.response = h.Responses.Open(q.service.Name, uncountedResponseBytes)
 	if shared := q.call.SharedParts(); len(shared) > 0 {
 		rec.PromptKey = cacheindex.KeyOf(shared[len(shared)-1])
 	}
@@ -62,7 +63,7 @@
 	if reject := q.readBody(w, r, view.Table.Limits().BodyBytes); reject != nil {
 		return nil, reject
 	}
-	q.subject.Fingerprint = quarantine.Fingerprint(r.Host, r.URL.Path, parsed.Key, q.body)
+	q.subject.Fingerprint = quarantine.Fingerprint(r.Method, r.Host, r.RequestURI, parsed.Key, q.body)
 	for _, p := range q.call.SharedParts() {
 		q.subject.Parts = append(q.subject.Parts, p.ID)
 	}
--- a/gateway/ingress/endless_test.go
+++ b/gateway/ingress/endless_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"cassialatch.dev/gateway/upstream"
 )
 
 // stall starts a signed stream, sends one event and then nothing until the
@@ -174,6 +176,9 @@
 			rec := f.records.wait(1)[0]
 			is.Equal(rec.Outcome, OutcomeAborted)
 			is.Equal(rec.Attempts[0].Reason, ReasonConnectionBroken)
+			is.Equal(rec.Attempts[0].Listening, upstream.ListeningYes)
+			// The connection that showed this is kept as an idle one; no other is open.
+			f.handler.Pool.Expire(func(string) bool { return false })
 			is.Equal(f.handler.Pool.OpenConns(), 0)
 		})
 	}
@@ -506,12 +511,19 @@
 // A connection that breaks within a stream still counts as a crash.
 func TestHandlerRefusesStreamThatCrashesServers(t *testing.T) {
 	is := is.New(t)
-	b := startBackend(t, streamEvents(3, 6, false))
-	f := newFixture(t, b)
+	var backends []*backend
+	breakOff := streamEvents(3, 6, false)
+	for range 9 {
+		backends = append(backends, startBackend(t, func(b *backend, req *http.Request, c net.Conn) {
+			b.stop()
+			breakOff(b, req, c)
+		}))
+	}
+	f := newFixture(t, backends...)
 	for range 5 {
 		_, _ = f.discard("/once/x", "1m") // broken off or refused
 	}
-	is.Equal(b.runs.Load(), int32(3))
+	is.Equal(stoppedBackends(backends), 3)
 }
 
 // Guards against a response that is forwarded as it arrives to a caller that does
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"cassialatch.dev/gateway/cacheindex"
+	"cassialatch.dev/gateway/memory"
 	"cassialatch.dev/gateway/placement"
+	"cassialatch.dev/gateway/upstream"
 )
 
 // Outcome is how a request ended.
@@ -39,8 +41,9 @@
 	ReasonWorkspaceChanged Reason = "workspace_changed" // the key was given to another workspace since the request was admitted
 	ReasonBodyTooLarge     Reason = "body_too_large"
 	ReasonBodyUnreadable   Reason = "body_broken"
-	ReasonBodyTimeout      Reason = "body_timeout" // the deadline came before the whole body
-	ReasonBodyMemory       Reason = "body_memory"  // the bodies of other requests take the memory
+	ReasonBodyTimeout      Reason = "body_timeout"    // the deadline came before the whole body
+	ReasonBodyMemory       Reason = "body_memory"     // the bodies of other requests take the memory
+	ReasonResponseMemory   Reason = "response_memory" // the responses to other requests take the memory
 	ReasonCrashesServers   Reason = "crashes_servers"
 	ReasonDraining         Reason = "daemon_draining"
 	ReasonStopped          Reason = "daemon_stopped" // the drain ended before the request did
@@ -68,8 +71,9 @@
 	Cause         placement.Cause
 	FetchedFrom   string // ID of the server to fetch missing tokens from; empty if there was none
 	Status        int
-	Leaving       bool          // the server said that it is leaving
-	Pause         time.Duration // how long the server said that it wants no more requests; 0 if it did not
+	Leaving       bool               // the server said that it is leaving
+	Pause         time.Duration      // how long the server said that it wants no more requests; 0 if it did not
+	Listening     upstream.Listening // of the server, after its connection broke during the run; else empty
 	Reason        Reason
 	Detail        string // cause of a failure, for the log
 	Duration      time.Duration
@@ -100,10 +104,12 @@
 	Duration      time.Duration
 	Writes        int                  // writes of stream events to the caller
 	Resumptions   int                  // attempts that resumed a stream on another server
-	CrashParts    []cacheindex.PartKey // shared parts of the prompt, in order, if a server crashed while it ran the request
+	Fingerprint   uint64               // of the request's content, if a connection broke while a server ran it; else 0
+	CrashParts    []cacheindex.PartKey // shared parts of the prompt, in order, if a connection broke while a server ran the request
 	Panic         *Panic               // nil unless the handler panicked
 
-	body bodyMemory // released when the request ends
+	body     memory.Account // the request's body
+	response memory.Account // what is held of responses
 }
 
 // Panic describes an unexpected panic of the handler.
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -13,6 +13,7 @@
 
 	"cassialatch.dev/gateway/call"
 	"cassialatch.dev/gateway/catalog"
+	"cassialatch.dev/gateway/memory"
 )
 
 // ErrTooManyConns is returned when the pool already holds Request.MaxConns
@@ -25,8 +26,13 @@
 
 // Error is returned by Send when there is no usable response.
 type Error struct {
-	Sent  bool // the server may have received some of the request
-	Lost  bool // the connection broke, rather than carry bytes that are no response
+	Sent bool // the server may have received some of the request
+	// Lost is set if the server's side ended the connection, rather than fall silent or
+	// send bytes that are no response.
+	Lost bool
+	// Idle is set if the connection had been idle, so that the server may have closed it
+	// before the request arrived.
+	Idle  bool
 	Cause error
 }
 
@@ -88,6 +94,10 @@
 	Header   http.Header
 	Body     []byte
 	MaxConns int // limit of this daemon's connections to the server; 0: no limit
+	// Memory is what the request holds of responses; what their heads take is added. A
+	// head for which it has no room is an Error with the cause memory.ErrFull. It may be
+	// nil.
+	Memory *memory.Account
 }
 
 // Response is the head of a backend server's response and a reader of its body.
@@ -126,15 +136,16 @@
 	if err != nil {
 		return nil, &Error{Cause: err}
 	}
+	idle := c.used
 	stop := context.AfterFunc(ctx, c.abort)
 	r := &Response{pool: p, server: s.ID, conn: c, stop: stop}
 	if r.pending, err = writeRequest(c, req); err != nil {
 		r.Abort()
-		return nil, &Error{Sent: r.pending.n > 0, Lost: true, Cause: err}
+		return nil, &Error{Sent: r.pending.n > 0, Lost: endedByPeer(err), Idle: idle, Cause: err}
 	}
 	if err := r.readHead(req); err != nil {
 		r.Abort()
-		return nil, &Error{Sent: true, Lost: c.lost, Cause: err}
+		return nil, &Error{Sent: true, Lost: c.lost, Idle: idle && c.received == 0, Cause: err}
 	}
 	return r, nil
 }
@@ -186,10 +197,14 @@
 // readHead reads the head of the response to req. It skips responses to other
 // requests.
 func (r *Response) readHead(req *Request) error {
+	held := req.Memory
+	if held == nil {
+		held = new(memory.Account)
+	}
 	reused := r.conn.used
-	r.conn.used = true
+	r.conn.used, r.conn.received = true, 0
 	for skipped := 0; ; skipped++ {
-		resp, err := r.conn.readResponse(req.Method)
+		resp, err := r.conn.readResponse(req.Method, held)
 		if err != nil {
 			return err
 		}
@@ -215,8 +230,8 @@
 	}
 }
 
-// Lost reports whether the connection broke or ended while the body was read. If
-// reading failed without that, the server sent bytes that are no response.
+// Lost reports whether the server's side ended the connection while the body was read. If
+// reading failed without that, the server fell silent or sent bytes that are no response.
 func (r *Response) Lost() bool { return r.conn.lost }
 
 // Release returns the connection to the pool if it can be reused, and resets it
@@ -241,7 +256,7 @@
 	default:
 		return false // the server responded before it had read the whole request
 	}
-	if r.pending.err != nil || r.resp.Close || !r.Framed || r.conn.br.Buffered() > 0 {
+	if r.pending.err != nil || r.resp.Close || !r.Framed || r.conn.unread() {
 		return false
 	}
 	return !strings.EqualFold(r.Header.Get("Connection"), "close")
