--- a/gateway/cachescan/cachescan.go
+++ b/gateway/cachescan/cachescan.go
@@ -39,9 +39,10 @@
 	maxListedParts = 4000
 )
 
-// Lister lists the parts in a server's cache.
+// Lister lists the parts in a server's cache. It passes each one to add, also of a listing
+// that turns out to be incomplete, for which it returns an error.
 type Lister interface {
-	List(ctx context.Context, s *catalog.Server) ([]call.Part, error)
+	List(ctx context.Context, s *catalog.Server, add func(call.Part)) error
 }
 
 // Log receives the scanner's events.
@@ -181,13 +182,11 @@
 func (s *Scanner) listServer(ctx context.Context, server *catalog.Server) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	parts, err := s.lister.List(ctx, server)
-	s.log.CacheListed(server.ID, len(parts), err)
-	// Largest parts first: they are shared between requests and cost the most
-	// tokens to compute.
-	slices.SortFunc(parts, func(a, b call.Part) int { return b.Tokens - a.Tokens })
-	quota := maxListedParts / max(len(s.catalog.View().Servers), 1)
-	parts = parts[:min(len(parts), quota)]
-	s.index.AddListed(parts, cacheindex.Holder(server.Tag()))
+	listed := largest{most: maxListedParts / max(len(s.catalog.View().Servers), 1)}
+	err := s.lister.List(ctx, server, listed.add)
+	s.log.CacheListed(server.ID, listed.added, err)
+	if err == nil {
+		s.index.AddListed(listed.list(), cacheindex.Holder(server.Tag()))
+	}
 	s.triggerExchange()
 }
--- a/gateway/cachescan/cachescan_test.go
+++ b/gateway/cachescan/cachescan_test.go
@@ -22,11 +22,13 @@
 	calls map[string]int
 }
 
-func (l *lister) List(_ context.Context, s *catalog.Server) ([]call.Part, error) {
+func (l *lister) List(_ context.Context, s *catalog.Server, add func(call.Part)) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.calls[s.ID]++
-	return []call.Part{{ID: 1, Tokens: 10}, {ID: 2, Tokens: 500}}, nil
+	add(call.Part{ID: 1, Tokens: 10})
+	add(call.Part{ID: 2, Tokens: 500})
+	return nil
 }
 
 type alive []peers.Peer
