--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -230,6 +230,8 @@
 	})
 	d.metrics.Gauge("peers", func() float64 { return float64(d.peers.CountAlive()) })
 	d.metrics.Gauge("server_connections", func() float64 { return float64(d.pool.OpenConns()) })
+	d.metrics.Gauge("body_memory_bytes", func() float64 { return float64(d.handler.Bodies.Used()) })
+	d.metrics.Gauge("response_memory_bytes", func() float64 { return float64(d.handler.Responses.Used()) })
 	d.metrics.Gauge("cache_news_lost", func() float64 { return float64(d.cacheIndex.DroppedUpdates()) })
 	d.metrics.Gauge("log_lines_dropped", func() float64 { return float64(d.writer.Dropped()) })
 }
