ingress: connections closed while idle are left to the weaker evidence

Cause: did not count a reused connection that ended before a byte of the response, since servers may drop idle ones. But most connections are reused, so hardly a run counted. What says of timeouts stays.

Requests on connections that were dropped while idle are kept from being refused by what the weaker evidence asks for: runs one after the other, over a second, of which none is on a server that lost another one.

--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -150,7 +150,7 @@
 	}
 	q.h.Health.RecordFailure(s.ID)
 	if failure != nil && failure.Lost {
-		q.recordBroken(ctx, s, a, failure.Idle)
+		q.recordBroken(ctx, s, a)
 	}
 	return q.route.Repeatable()
 }
@@ -179,7 +179,7 @@
 		return false
 	}
 	if resp.Lost() {
-		q.recordBroken(ctx, s, a, false)
+		q.recordBroken(ctx, s, a)
 	}
 	return q.handleFailure(s, a, ReasonConnectionBroken, err.Error())
 }
--- a/gateway/ingress/crash.go
+++ b/gateway/ingress/crash.go
@@ -15,9 +15,8 @@
 const soundAfter = 500 * time.Millisecond
 
 // recordBroken records that the server's side ended the connection while it ran the
-// request. A connection that had been idle, of a server that is still up, may have been
-// closed before the request arrived.
-func (q *request) recordBroken(ctx context.Context, s *catalog.Server, a *Attempt, idle bool) {
+// request.
+func (q *request) recordBroken(ctx context.Context, s *catalog.Server, a *Attempt) {
 	q.rec.CrashParts = nil
 	for _, p := range q.call.SharedParts() {
 		q.rec.CrashParts = append(q.rec.CrashParts, cacheindex.KeyOf(p))
@@ -26,8 +25,6 @@
 	a.Listening = q.h.Pool.Probe(ctx, s, q.maxConns())
 	if a.Listening == upstream.ListeningNo {
 		q.h.Health.RecordUnreachable(s.ID)
-	} else if idle {
-		return
 	}
 	q.h.Quarantine.RecordCrash(&quarantine.Run{
 		Subject:    q.subject,
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -51,7 +51,6 @@
 	readLimit int64         // bytes that may still be read from tcp
 	head      []byte        // of the latest response, before it is parsed
 	unparsed  []byte        // bytes that were read for the head, and come first in Read
-	received  int64         // bytes read since the last request was sent
 	lost      bool          // the server's side has ended the connection
 	used      bool          // a request was sent on it
 	idleUntil time.Time     // not reused from then on
@@ -95,7 +94,6 @@
 	}
 	n, err := c.tcp.Read(p)
 	c.readLimit -= int64(n)
-	c.received += int64(n)
 	if err != nil {
 		c.lost = endedByPeer(err)
 	}
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -29,10 +29,7 @@
 	Sent bool // the server may have received some of the request
 	// Lost is set if the server's side ended the connection, rather than fall silent or
 	// send bytes that are no response.
-	Lost bool
-	// Idle is set if the connection had been idle, so that the server may have closed it
-	// before the request arrived.
-	Idle  bool
+	Lost  bool
 	Cause error
 }
 
@@ -136,16 +133,15 @@
 	if err != nil {
 		return nil, &Error{Cause: err}
 	}
-	idle := c.used
 	stop := context.AfterFunc(ctx, c.abort)
 	r := &Response{pool: p, server: s.ID, conn: c, stop: stop}
 	if r.pending, err = writeRequest(c, req); err != nil {
 		r.Abort()
-		return nil, &Error{Sent: r.pending.n > 0, Lost: endedByPeer(err), Idle: idle, Cause: err}
+		return nil, &Error{Sent: r.pending.n > 0, Lost: endedByPeer(err), Cause: err}
 	}
 	if err := r.readHead(req); err != nil {
 		r.Abort()
-		return nil, &Error{Sent: true, Lost: c.lost, Idle: idle && c.received == 0, Cause: err}
+		return nil, &Error{Sent: true, Lost: c.lost, Cause: err}
 	}
 	return r, nil
 }
@@ -202,7 +198,7 @@
 		held = new(memory.Account)
 	}
 	reused := r.conn.used
-	r.conn.used, r.conn.received = true, 0
+	r.conn.used = true
 	for skipped := 0; ; skipped++ {
 		resp, err := r.conn.readResponse(req.Method, held)
 		if err != nil {
