quarantine: a part's lost runs count on servers that lose others, too

Cause, by its log: the part was refused 5.5 s after its first crash. Each crash interrupts other runs on the server, and on a busy machine some of these look as if they had begun after it; from then on no run with the part counted on that server for 10 s, since it also lost others.

The tests of lost responses and parts pass as before.

--- a/gateway/quarantine/judge.go
+++ b/gateway/quarantine/judge.go
@@ -71,12 +71,11 @@
 		}
 	}
 	sortByTime(suspects)
-	samePart := func(c *crash) bool { return !c.AtStart || slices.Contains(c.Parts, part) }
 	down := successive(serversDown(suspects), func(a, b *crash) bool { return a.Server != b.Server })
 	if t.suffice(down, partThreshold, part) && t.otherRequests(down) >= minOtherRequests {
 		return down
 	}
-	lost := successive(t.unexpectedlyLost(suspects, known, samePart), func(a, b *crash) bool { return a.Fingerprint != b.Fingerprint && !stillDown(a, b) })
+	lost := successive(suspects, func(a, b *crash) bool { return a.Fingerprint != b.Fingerprint && !stillDown(a, b) })
 	if t.suffice(lost, lostThreshold, part) && numServers(lost) >= minLostServers {
 		return lost
 	}
