--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -7,8 +7,8 @@
 // part: it must have been at the start of a run in several crashes, one after the
 // other, of different servers and requests, without a run in which it did no harm.
 // A server that has only lost a response looks much like one that has crashed, but still
-// accepts connections. Then it takes more runs, on servers that lose the responses to no
-// other requests, and the ban is short.
+// accepts connections. Then it takes more runs, and the ban is short; a run of a single
+// request counts only on a server that loses the responses to no other requests.
 //
 // Daemons send each other what they have observed and relay what they have received,
 // so that neither the size of the fleet nor the restart of a daemon loses it. A run that
