placement: random load on old counts of a large fleet

Change: in a fleet in which counts take several rounds, each daemon adds exponentially distributed load with the mean of the servers to each candidate. It only orders candidates below the limit, so prompts stay where they are cached. Small fleets are served as before.

--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -144,6 +144,7 @@
 		Quarantine:      d.quarantine,
 		CacheIndex:      d.cacheIndex,
 		FleetSize:       d.peers.FleetSize,
+		LargeFleet:      d.peers.LargeFleet,
 		Recorder:        d,
 		Settings:        ingress.Settings{Zone: s.Zone, KeyLease: s.KeyLease, ConfigLag: s.ConfigLag},
 		Bodies:          memory.NewBudget(int64(float64(s.MemoryBytes) * bodyMemoryRatio)),
--- a/gateway/ingress/choose.go
+++ b/gateway/ingress/choose.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"math/rand/v2"
 	"slices"
 
 	"cassialatch.dev/gateway/cacheindex"
@@ -25,9 +26,9 @@
 	candidates := q.candidates(states[:len(servers)], q.sources(states))
 	i, cause := 0, placement.CauseLoad
 	if len(q.call.Parts) > 0 {
-		i, cause = placement.ChooseForPrompt(candidates, q.call.SharedParts())
+		i, cause = placement.ChooseForPrompt(candidates, q.call.SharedParts(), q.h.jitter())
 	} else {
-		i = placement.LeastLoaded(candidates, q.h.Settings.Zone)
+		i = placement.LeastLoaded(candidates, q.h.Settings.Zone, q.h.jitter())
 	}
 	if i < 0 {
 		return nil, choice{}
@@ -39,6 +40,15 @@
 	return serverByID(servers, chosen.ID), chosen
 }
 
+// jitter returns the random load for a choice of a server: none while the counts of all
+// daemons are recent.
+func (h *Handler) jitter() placement.Jitter {
+	if !h.LargeFleet() {
+		return nil
+	}
+	return rand.ExpFloat64
+}
+
 // serverByID returns the server with the ID, which must be in the list.
 func serverByID(servers []*catalog.Server, id string) *catalog.Server {
 	i := slices.IndexFunc(servers, func(s *catalog.Server) bool { return s.ID == id })
--- a/gateway/ingress/fixture_test.go
+++ b/gateway/ingress/fixture_test.go
@@ -228,6 +228,7 @@
 		Quarantine:      quarantine.New(time.Now),
 		CacheIndex:      cacheindex.New(time.Now),
 		FleetSize:       func() int { return 1 },
+		LargeFleet:      func() bool { return false },
 		Recorder:        f.records,
 		Settings:        Settings{KeyLease: 5 * time.Second},
 		Bodies:          memory.NewBudget(0),
--- a/gateway/ingress/handler.go
+++ b/gateway/ingress/handler.go
@@ -62,6 +62,9 @@
 	Quarantine *quarantine.Table
 	CacheIndex *cacheindex.Index
 	FleetSize  func() int // number of daemons that share the connection limit
+	// LargeFleet reports whether the counts of other daemons take several gossip rounds to
+	// arrive.
+	LargeFleet func() bool
 	Recorder   Recorder
 	Settings   Settings
 	// TriggerExchange starts a gossip round at once, so that the peers soon
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -45,6 +45,16 @@
 // load returns the requests in flight plus the penalty.
 func (c *Candidate) load() float64 { return float64(c.InFlight) + c.Penalty }
 
+// excessLoad returns the load above the mean for the cost of a prompt. With jitter, the
+// load below the mean counts too: otherwise all daemons prefer the same of several servers
+// that they take for idle.
+func (c *Candidate) excessLoad(mean float64, jitter Jitter) float64 {
+	if jitter == nil {
+		return math.Max(0, c.load()-mean)
+	}
+	return c.load() - mean + jitter.load(mean)
+}
+
 // loadLimit returns the load that a server must be below to get a prompt. It
 // is lower than the multiple of the mean load that operators allow.
 func loadLimit(mean float64) float64 {
@@ -86,12 +96,12 @@
 // ChooseForPrompt chooses a server for a request by the shared parts of its
 // prompt. It returns the index of the chosen candidate, -1 if there are no
 // candidates, and the reason for the choice.
-func ChooseForPrompt(candidates []Candidate, shared []call.Part) (int, Cause) {
+func ChooseForPrompt(candidates []Candidate, shared []call.Part, jitter Jitter) (int, Cause) {
 	if len(candidates) == 0 {
 		return -1, CauseLoad
 	}
 	if len(shared) == 0 {
-		return LeastLoaded(candidates, ""), CauseLoad
+		return LeastLoaded(candidates, "", jitter), CauseLoad
 	}
 	mean, usage := meanLoadAndUsage(candidates)
 	limit := loadLimit(mean)
@@ -103,7 +113,7 @@
 		if c.load() >= limit {
 			continue
 		}
-		cost := c.promptCost() + tokensPerRequest*math.Max(0, c.load()-mean)
+		cost := c.promptCost() + tokensPerRequest*c.excessLoad(mean, jitter)
 		if !cached {
 			cost += tokensPerSentPart*math.Max(0, c.Usage-usage) + tokensPerRank*float64(ranks[i])
 		}
@@ -112,7 +122,7 @@
 		}
 	}
 	if best < 0 {
-		return LeastLoaded(candidates, ""), CauseLoad
+		return LeastLoaded(candidates, "", jitter), CauseLoad
 	}
 	return best, cause(candidates, best, cached)
 }
@@ -211,10 +221,11 @@
 
 // LeastLoaded returns the index of the least loaded candidate, -1 if there
 // are none. Candidates outside the given zone count crossZonePenalty more.
-func LeastLoaded(candidates []Candidate, zone string) int {
+func LeastLoaded(candidates []Candidate, zone string, jitter Jitter) int {
+	mean, _ := meanLoadAndUsage(candidates)
 	best, bestCost := -1, math.Inf(1)
 	for i := range candidates {
-		cost := candidates[i].load()
+		cost := candidates[i].load() + jitter.load(mean)
 		if candidates[i].Zone != zone {
 			cost += crossZonePenalty
 		}
--- a/gateway/placement/placement_test.go
+++ b/gateway/placement/placement_test.go
@@ -27,7 +27,7 @@
 	is := is.New(t)
 	all := newCandidates(9, 10_100)
 	all[4].MissingTokens, all[4].Ready, all[4].InFlight = 0, true, 3
-	i, cause := ChooseForPrompt(all, newPrompt(1, 2, 10_000))
+	i, cause := ChooseForPrompt(all, newPrompt(1, 2, 10_000), nil)
 	is.Equal(i, 4)
 	is.Equal(cause, CauseWarm)
 }
@@ -40,7 +40,7 @@
 	all := newCandidates(9, 10_100)
 	all[0].MissingTokens, all[0].Ready = 0, true
 	for range 200 {
-		i, _ := ChooseForPrompt(all, newPrompt(1, 2, 10_000))
+		i, _ := ChooseForPrompt(all, newPrompt(1, 2, 10_000), nil)
 		all[i].InFlight++
 		all[i].MissingTokens, all[i].Ready = 0, true
 		for j := range all {
@@ -63,7 +63,7 @@
 	is := is.New(t)
 	all := newCandidates(9, 10_100)
 	for n := range uint64(18) {
-		i, cause := ChooseForPrompt(all, newPrompt(n%3, 100+n, 10_000))
+		i, cause := ChooseForPrompt(all, newPrompt(n%3, 100+n, 10_000), nil)
 		is.Equal(cause, CauseCold)
 		all[i].InFlight++
 		all[i].QueuedTokens += 10_100
@@ -81,7 +81,7 @@
 	chosen := make(map[int]int)
 	const prompts = 80
 	for n := range uint64(prompts) {
-		i, _ := ChooseForPrompt(newCandidates(90, 1_100), newPrompt(1, 100+n, 1_000))
+		i, _ := ChooseForPrompt(newCandidates(90, 1_100), newPrompt(1, 100+n, 1_000), nil)
 		chosen[i]++
 	}
 	for _, n := range chosen {
@@ -97,7 +97,7 @@
 	all := newCandidates(9, 10_100)
 	all[3].MissingTokens, all[3].Ready = 0, false
 	all[3].InFlight, all[3].QueuedTokens = 1, 10_100
-	i, cause := ChooseForPrompt(all, newPrompt(1, 2, 10_000))
+	i, cause := ChooseForPrompt(all, newPrompt(1, 2, 10_000), nil)
 	is.Equal(i, 3)
 	is.Equal(cause, CausePending)
 }
@@ -111,8 +111,8 @@
 		p := newPrompt(n, 100+n, 2_000)
 		a, b := newCandidates(9, 2_100), newCandidates(9, 2_100)
 		b[0].InFlight, b[5].InFlight = 1, 2 // load counted by one half only
-		i, _ := ChooseForPrompt(a, p)
-		j, _ := ChooseForPrompt(b, p)
+		i, _ := ChooseForPrompt(a, p, nil)
+		j, _ := ChooseForPrompt(b, p, nil)
 		is.Equal(i, j)
 	}
 }
@@ -127,22 +127,22 @@
 	}
 	all[2].MissingTokens, all[2].Ready = 0, true
 	all[2].Penalty, all[7].Penalty = 15, 15
-	i, cause := ChooseForPrompt(all, newPrompt(1, 2, 600))
+	i, cause := ChooseForPrompt(all, newPrompt(1, 2, 600), nil)
 	is.True(i != 2 && i != 7)
 	is.Equal(cause, CauseBound)
 }
 
 func TestChoose_WithoutCandidates(t *testing.T) {
 	is := is.New(t)
-	i, _ := ChooseForPrompt(nil, newPrompt(1, 2, 3))
+	i, _ := ChooseForPrompt(nil, newPrompt(1, 2, 3), nil)
 	is.Equal(i, -1)
-	is.Equal(LeastLoaded(nil, "a"), -1)
+	is.Equal(LeastLoaded(nil, "a", nil), -1)
 }
 
 func TestLeastLoadedPrefersZone(t *testing.T) {
 	is := is.New(t)
 	all := []Candidate{{ID: "a", Zone: "x", InFlight: 1}, {ID: "b", Zone: "y", InFlight: 1}}
-	is.Equal(LeastLoaded(all, "y"), 1)
+	is.Equal(LeastLoaded(all, "y", nil), 1)
 	all[1].InFlight = 2
-	is.Equal(LeastLoaded(all, "y"), 0)
+	is.Equal(LeastLoaded(all, "y", nil), 0)
 }
--- a/gateway/placement/stale_test.go
+++ b/gateway/placement/stale_test.go
@@ -81,11 +81,7 @@
 // place places a prompt about a subject at a daemon.
 func (f *staleFleet) place(daemon int, subject uint64, duration time.Duration) {
 	const tokens = 2000
-	candidates := make([]Candidate, len(f.inFlight))
-	for i := range candidates {
-		candidates[i] = Candidate{ID: fmt.Sprint("s", i), MissingTokens: tokens, Ready: true,
-			InFlight: f.known[i] - f.ownKnown[daemon][i] + f.own[daemon][i]}
-	}
+	candidates := f.candidates(daemon, tokens)
 	for _, s := range f.holders[subject] {
 		candidates[s].MissingTokens = 0
 	}
@@ -94,11 +90,27 @@
 			candidates[i].FetchableTokens = candidates[i].MissingTokens
 		}
 	}
-	server, _ := ChooseForPrompt(candidates, []call.Part{{ID: subject, Tokens: tokens}})
+	server, _ := ChooseForPrompt(candidates, []call.Part{{ID: subject, Tokens: tokens}}, f.rng.ExpFloat64)
 	f.judge(server)
 	if candidates[server].MissingTokens > 0 {
 		f.holders[subject] = append(f.holders[subject], server)
 	}
+	f.begin(daemon, server, duration)
+}
+
+// candidates returns the servers as a daemon knows them; none has the prompt's tokens in
+// its cache.
+func (f *staleFleet) candidates(daemon, tokens int) []Candidate {
+	candidates := make([]Candidate, len(f.inFlight))
+	for i := range candidates {
+		candidates[i] = Candidate{ID: fmt.Sprint("s", i), MissingTokens: tokens, Ready: true,
+			InFlight: f.known[i] - f.ownKnown[daemon][i] + f.own[daemon][i]}
+	}
+	return candidates
+}
+
+// begin records a request that a daemon sends to a server.
+func (f *staleFleet) begin(daemon, server int, duration time.Duration) {
 	f.change(loadChange{f.now, daemon, server, 1})
 	heap.Push(&f.ends, loadChange{f.now + duration, daemon, server, -1})
 }
