--- a/gateway/health/health.go
+++ b/gateway/health/health.go
@@ -63,13 +63,19 @@
 	return s
 }
 
+// Backoff returns how long a server gets no new work after it could not be reached, if
+// that is after the given number of consecutive failures.
+func Backoff(failures int) time.Duration {
+	return min(initialBackoff<<min(failures, 5), maxBackoff)
+}
+
 // RecordUnreachable records that a server could not be reached or stopped
 // responding. It starts a backoff.
 func (t *Table) RecordUnreachable(id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.find(id)
-	backoff := min(initialBackoff<<min(s.consecutive, 5), maxBackoff)
+	backoff := Backoff(s.consecutive)
 	s.consecutive++
 	s.backoffUntil = t.now().Add(backoff)
 	s.failureRate += failureWeight * (1 - s.failureRate)
