--- a/gateway/call/call.go
+++ b/gateway/call/call.go
@@ -61,6 +61,15 @@
 	Leaving     bool          // the server is about to stop and must get no more requests
 	Pause       time.Duration // how long the server wants no more requests from this daemon; 0 if not sent
 	IdleTimeout time.Duration // idle time after which the server closes the connection; 0 if not sent
+	Load        ServerLoad    // of the server as it began to respond; zero if not sent
+}
+
+// ServerLoad is what a backend server states about its load.
+type ServerLoad struct {
+	Running     int // requests
+	Waiting     int // requests
+	Slots       int // for running requests
+	PacePercent int // how long work takes at this moment, in percent of the usual time; 0 if not sent
 }
 
 // Dialect converts between the headers of a deployment and the types of this
--- a/gateway/daemon/settings.go
+++ b/gateway/daemon/settings.go
@@ -23,6 +23,9 @@
 	// FirstStart is set if the whole fleet starts for the first time: no daemon
 	// has any state to share, and all caches of backend servers are empty.
 	FirstStart bool
+	// ServerState is set if daemons exchange and use what they observe about the pace
+	// and the refused connections of backend servers.
+	ServerState bool
 }
 
 // RetryBudget limits the retries of all daemons together.
