peers: reports on servers in datagrams

Message.ServerReports follows the message as a second CBOR item and is left out if there are none, so that datagrams of a quiet fleet are the same byte for byte. The CBOR decoder rejects arrays of another length, so builds before this one reject messages with reports: daemons that understand them are marked by the lowest bits of their incarnation, and the others get messages without them.

--- a/gateway/peers/check.go
+++ b/gateway/peers/check.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cassialatch.dev/gateway/quarantine"
+	"cassialatch.dev/gateway/serverstate"
 )
 
 // Limits on the numbers of a message. They are far above what a daemon sends, and
@@ -17,6 +18,9 @@
 	maxTokens   = 1 << 40 // of prompts at one server
 )
 
+// fieldServerReports is the name of a field of Message.
+const fieldServerReports = "ServerReports"
+
 // MessageError is returned for a datagram that no daemon has sent.
 type MessageError struct {
 	Field string // of Message; empty: the whole datagram
@@ -36,6 +40,7 @@
 	errTooShort   = errors.New("has no header")
 	errOutOfRange = errors.New("number is out of range")
 	errNotAnIP    = errors.New("is not an IPv4 address")
+	errTooMany    = errors.New("has too many entries")
 )
 
 // check returns an error of type *MessageError if a field has a value that no daemon
@@ -55,6 +60,20 @@
 	if !agesInRange(&m.CrashNews) {
 		return &MessageError{Field: "CrashNews", Cause: errOutOfRange}
 	}
+	return checkServerReports(m.ServerReports)
+}
+
+// checkServerReports returns an error of type *MessageError for reports that no daemon
+// sends.
+func checkServerReports(reports []serverstate.Report) error {
+	if len(reports) > serverstate.MaxReports {
+		return &MessageError{Field: fieldServerReports, Cause: errTooMany}
+	}
+	for i := range reports {
+		if !reports[i].Valid() {
+			return &MessageError{Field: fieldServerReports, Cause: errOutOfRange}
+		}
+	}
 	return nil
 }
 
--- a/gateway/peers/exchange.go
+++ b/gateway/peers/exchange.go
@@ -13,6 +13,7 @@
 	"cassialatch.dev/gateway/catalog"
 	"cassialatch.dev/gateway/load"
 	"cassialatch.dev/gateway/quarantine"
+	"cassialatch.dev/gateway/serverstate"
 )
 
 // minRoundGap is the minimum time between two gossip rounds.
@@ -35,6 +36,7 @@
 	loads      *load.Table
 	quarantine *quarantine.Table
 	cacheIndex *cacheindex.Index
+	servers    *serverstate.Table // nil: reports on servers are neither sent nor used
 	fetcher    Fetcher
 	ownState   func() State
 	// OnReject, if not nil, is called for each datagram that no daemon has sent. It
@@ -69,6 +71,13 @@
 	}, nil
 }
 
+// ShareServerState makes the exchange send and receive the reports of the table. It must
+// be called before Run.
+func (e *Exchange) ShareServerState(t *serverstate.Table) {
+	e.servers = t
+	e.incarnation = e.incarnation&^formatMask | formatReports
+}
+
 // Run exchanges datagrams until the context ends. It then closes the socket.
 func (e *Exchange) Run(ctx context.Context) {
 	go e.receive(ctx)
@@ -112,24 +121,43 @@
 	m := e.message()
 	m.Reply = e.table.LargeFleet() || e.table.Isolated()
 	body := encode(m)
-	for _, to := range targets {
-		e.write(to, body)
+	for i := range targets {
+		e.write(targets[i], bodyFor(&targets[i], m, body))
 	}
 }
 
 // reply sends this daemon's message to the peer that asked for it.
 func (e *Exchange) reply(ip string) {
 	to := e.table.target(ip) // before the message, as in send
-	e.write(to, encode(e.message()))
+	m := e.message()
+	e.write(to, bodyFor(&to, m, encode(m)))
+}
+
+// bodyFor returns what to send of a message, of which body is the encoding, to a peer: all
+// of it, or no reports on servers if the peer's build would reject them.
+func bodyFor(to *target, m *Message, body []byte) []byte {
+	if len(m.ServerReports) == 0 || to.acceptsReports() {
+		return body
+	}
+	return encodeItem(m)
 }
 
 // encode returns the CBOR encoding of a message.
 func encode(m *Message) []byte {
-	body, err := cbor.Marshal(m)
+	body := encodeItem(m)
+	if len(m.ServerReports) == 0 {
+		return body
+	}
+	return append(body, encodeItem(m.ServerReports)...)
+}
+
+// encodeItem returns the CBOR encoding of a message without its reports, or of these.
+func encodeItem(v any) []byte {
+	item, err := cbor.Marshal(v)
 	if err != nil {
 		panic("peers: message has no CBOR encoding: " + err.Error()) // can't happen: all field types can be encoded
 	}
-	return body
+	return item
 }
 
 // write sends a datagram with the encoded message to a peer.
@@ -158,6 +186,9 @@
 	}
 	m.State.StoreReachable = e.table.canReadStore()
 	m.State.Zone = e.table.zone
+	if e.servers != nil {
+		m.ServerReports = e.servers.News()
+	}
 	if confirmed {
 		m.AgeMS = age.Milliseconds() + 1
 	}
@@ -186,9 +217,15 @@
 		return h, nil, &MessageError{Cause: errTooShort}
 	}
 	var m Message
-	if err := cbor.Unmarshal(b[headerBytes:], &m); err != nil {
+	rest, err := cbor.UnmarshalFirst(b[headerBytes:], &m)
+	if err != nil {
 		return h, nil, &MessageError{Cause: err}
 	}
+	if len(rest) > 0 {
+		if err := cbor.Unmarshal(rest, &m.ServerReports); err != nil {
+			return h, nil, &MessageError{Field: fieldServerReports, Cause: err}
+		}
+	}
 	return h, &m, m.check()
 }
 
@@ -207,6 +244,9 @@
 	}
 	e.cacheIndex.Merge(m.CacheUpdates, e.table.LargeFleet())
 	e.quarantine.Merge(&m.CrashNews)
+	if e.servers != nil {
+		e.servers.Merge(m.ServerReports)
+	}
 	e.syncCatalog(ctx, ip, h, m)
 	if m.Reply {
 		e.reply(ip)
--- a/gateway/peers/header.go
+++ b/gateway/peers/header.go
@@ -20,6 +20,14 @@
 
 const headerBytes = 32
 
+// The lowest bits of an incarnation state what the daemon understands. In earlier builds,
+// and in daemons without such a feature, they are random; one in 65,536 of those is taken
+// for one that understands reports and rejects the messages that contain some.
+const (
+	formatMask    = 0xffff
+	formatReports = 0x5352 // understands Message.ServerReports
+)
+
 // append appends the encoded header to b.
 func (h header) append(b []byte) []byte {
 	b = binary.LittleEndian.AppendUint64(b, h.incarnation)
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -5,10 +5,13 @@
 
 	"cassialatch.dev/gateway/cacheindex"
 	"cassialatch.dev/gateway/quarantine"
+	"cassialatch.dev/gateway/serverstate"
 )
 
 // Message is the content of a datagram. It is encoded as a CBOR array, so the order
-// and types of its fields are part of the protocol.
+// and types of its fields are part of the protocol. ServerReports is not in the array,
+// whose length is fixed in earlier builds: it follows as a second CBOR item, which is
+// left out if there are no reports.
 type Message struct {
 	_               struct{} `cbor:",toarray"`
 	Reply           bool     // requests a message in return
@@ -21,6 +24,8 @@
 	CacheUpdates    []cacheindex.Entry
 	Relayed         []RelayedPeer // some of the daemons that the sender counts as alive
 	RelayedInFlight bool          // the relayed entries contain their in-flight requests
+
+	ServerReports []serverstate.Report `cbor:"-"` // on backend servers; at most serverstate.MaxReports
 }
 
 // State is what a daemon reports about itself.
--- a/gateway/peers/targets.go
+++ b/gateway/peers/targets.go
@@ -81,3 +81,9 @@
 	incarnation uint64
 	echo        boottime.Instant
 }
+
+// acceptsReports reports whether the daemon understands Message.ServerReports. One from
+// which no message has been received yet is assumed to.
+func (to *target) acceptsReports() bool {
+	return to.incarnation == 0 || to.incarnation&formatMask == formatReports
+}
