placement: pace of servers

The load and the queued tokens of a server count by its pace. Random chooses among servers of which some have failed.

--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -22,6 +22,7 @@
 	InFlight        int     // requests in flight from all daemons
 	Penalty         float64 // load added for recent failures, in requests in flight
 	QueuedTokens    int     // prompt tokens of requests in flight that it has yet to compute
+	Pace            float64 // how long work takes there, relative to the usual time; 0: as usual
 	MissingTokens   int     // tokens of the prompt's shared parts that are not in its cache
 	FetchableTokens int     // missing tokens that Source has in its cache
 	Source          string  // ID of the server from whose cache those can be fetched; empty: none
@@ -39,12 +40,31 @@
 	CauseCold    Cause = "cold"    // no server has all shared parts
 	CauseBound   Cause = "bound"   // the servers with all shared parts have reached the load limit
 	CauseCost    Cause = "cost"    // the servers with all shared parts are so busy that computing the parts costs less
+	CauseRandom  Cause = "random"  // chosen at random, since several servers have refused the connection
 	CauseLoad    Cause = "load"    // there are no shared parts, or all servers have reached the load limit
 )
 
 // load returns the requests in flight plus the penalty.
 func (c *Candidate) load() float64 { return float64(c.InFlight) + c.Penalty }
 
+// pace returns the pace; 1 if work takes as long as usual.
+func (c *Candidate) pace() float64 {
+	if c.Pace == 0 {
+		return 1
+	}
+	return c.Pace
+}
+
+// pacedLoad returns the load by the time that it takes, in requests at the usual pace.
+// The request to be placed is part of it, since it takes longer at a slow server too,
+// and is subtracted again, so that it is equal to load at the usual pace.
+func (c *Candidate) pacedLoad() float64 {
+	if c.pace() == 1 {
+		return c.load() // without rounding
+	}
+	return (c.load()+1)*c.pace() - 1
+}
+
 // loadLimit returns the load that a server must be below to get a prompt. It
 // is lower than the multiple of the mean load that operators allow.
 func loadLimit(mean float64) float64 {
@@ -103,7 +123,7 @@
 		if c.load() >= limit {
 			continue
 		}
-		cost := c.promptCost() + tokensPerRequest*math.Max(0, c.load()-mean)
+		cost := c.promptCost() + tokensPerRequest*math.Max(0, c.pacedLoad()-mean)
 		if !cached {
 			cost += tokensPerSentPart*math.Max(0, c.Usage-usage) + tokensPerRank*float64(ranks[i])
 		}
@@ -120,7 +140,7 @@
 // promptCost returns the cost of the prompt at a server, in tokens, without
 // the cost of the server's load.
 func (c *Candidate) promptCost() float64 {
-	return float64(c.QueuedTokens+c.FetchableTokens) + missingWeight*float64(c.MissingTokens-c.FetchableTokens)
+	return float64(c.QueuedTokens)*c.pace() + float64(c.FetchableTokens) + missingWeight*float64(c.MissingTokens-c.FetchableTokens)
 }
 
 // cause returns the reason for a choice. cached is whether a server below the
@@ -209,12 +229,12 @@
 // preferred zone.
 const crossZonePenalty = 0.5
 
-// LeastLoaded returns the index of the least loaded candidate, -1 if there
+// LeastLoaded returns the index of the least loaded candidate by pacedLoad, -1 if there
 // are none. Candidates outside the given zone count crossZonePenalty more.
 func LeastLoaded(candidates []Candidate, zone string) int {
 	best, bestCost := -1, math.Inf(1)
 	for i := range candidates {
-		cost := candidates[i].load()
+		cost := candidates[i].pacedLoad()
 		if candidates[i].Zone != zone {
 			cost += crossZonePenalty
 		}
@@ -224,3 +244,23 @@
 	}
 	return best
 }
+
+// Random returns the index of a candidate below the load limit, -1 if there are no
+// candidates. random is a number that differs between requests. Among servers of which
+// some have failed, a random one is more likely to work than the one that costs least,
+// since those that have failed have nothing in flight.
+func Random(candidates []Candidate, random uint64) int {
+	if len(candidates) == 0 {
+		return -1
+	}
+	mean, _ := meanLoadAndUsage(candidates)
+	limit := loadLimit(mean)
+	n := len(candidates)
+	first := int(random % uint64(n))
+	for i := range n {
+		if c := (first + i) % n; candidates[c].load() < limit {
+			return c
+		}
+	}
+	return LeastLoaded(candidates, "")
+}
--- a/gateway/placement/placement_test.go
+++ b/gateway/placement/placement_test.go
@@ -146,3 +146,51 @@
 	all[1].InFlight = 2
 	is.Equal(LeastLoaded(all, "y"), 0)
 }
+
+// Load pattern: a fifth of the servers works 3.5 times as long for some seconds. An idle
+// server of these takes longer than a usual one with two requests.
+func TestPace_WeighsTheRequestToBePlaced(t *testing.T) {
+	is := is.New(t)
+	all := []Candidate{{ID: "slow", Pace: 3.5}, {ID: "usual", InFlight: 2}}
+	is.Equal(LeastLoaded(all, ""), 1)
+	all[1].InFlight = 3
+	is.Equal(LeastLoaded(all, ""), 0)
+	all = newCandidates(9, 0)
+	for i := range all {
+		all[i].InFlight, all[i].QueuedTokens, all[i].Pace = 2, 2_000, 3.5
+	}
+	all[4].Pace, all[4].QueuedTokens = 1, 6_000
+	i, _ := ChooseForPrompt(all, newPrompt(1, 2, 1_000))
+	is.Equal(i, 4)
+}
+
+// The load bound is the operators', in requests, whatever the pace.
+func TestPace_DoesNotChangeTheLoadBound(t *testing.T) {
+	is := is.New(t)
+	all := newCandidates(9, 1_100)
+	for i := range all {
+		all[i].InFlight, all[i].Pace = 4, 10
+	}
+	all[4].Pace, all[4].InFlight, all[4].MissingTokens, all[4].Ready = 0.25, 14, 0, true
+	i, cause := ChooseForPrompt(all, newPrompt(1, 2, 1_000))
+	is.True(i != 4)
+	is.Equal(cause, CauseBound)
+}
+
+// Guards against requests that try one failed server after another because these have
+// nothing in flight.
+func TestRandom_SpreadsOverServersBelowTheLoadLimit(t *testing.T) {
+	is := is.New(t)
+	all := newCandidates(9, 0)
+	for i := range all {
+		all[i].InFlight = 4
+	}
+	all[2].InFlight, all[5].InFlight = 0, 40
+	chosen := make(map[int]bool)
+	for n := range uint64(100) {
+		chosen[Random(all, n)] = true
+	}
+	is.Equal(len(chosen), 8)
+	is.True(!chosen[5])
+	is.Equal(Random(nil, 3), -1)
+}
