--- a/gateway/eventlog/log.go
+++ b/gateway/eventlog/log.go
@@ -1,6 +1,7 @@
 package eventlog
 
 import (
+	"math"
 	"os"
 	"strconv"
 	"time"
@@ -84,6 +85,9 @@
 	if a.MissingTokens != 0 {
 		e.Int("missing_tokens", a.MissingTokens)
 	}
+	if a.Pace != 0 && a.Pace != 1 {
+		e.Float64("pace", math.Round(a.Pace*100)/100)
+	}
 	if a.FetchedFrom != "" {
 		e.Str("fetch_from", a.FetchedFrom)
 	}
--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -33,7 +33,7 @@
 // server may be tried.
 func (q *request) attempt(ctx context.Context, w http.ResponseWriter, s *catalog.Server, chosen choice) bool {
 	q.tried[s.ID] = true
-	q.rec.Attempts = append(q.rec.Attempts, Attempt{start: time.Now(), Server: s.ID, InFlight: chosen.InFlight, QueuedTokens: chosen.QueuedTokens, SharedTokens: q.sharedTokens(), MissingTokens: chosen.MissingTokens, Cause: chosen.cause})
+	q.rec.Attempts = append(q.rec.Attempts, Attempt{start: time.Now(), Server: s.ID, InFlight: chosen.InFlight, QueuedTokens: chosen.QueuedTokens, SharedTokens: q.sharedTokens(), MissingTokens: chosen.MissingTokens, Pace: chosen.Pace, Cause: chosen.cause})
 	a := q.lastAttempt()
 	q.loadEntry = q.h.Loads.Begin(s.Tag(), q.tokensToCompute(chosen.MissingTokens))
 	q.h.CacheIndex.MarkPending(q.call.SharedParts(), cacheindex.Holder(s.Tag()))
@@ -61,6 +61,7 @@
 	defer resp.Abort() // does nothing unless forwarding panics
 	a.Status = resp.Status
 	q.recordAvoid(s, a, resp)
+	q.recordResponse(s, a, resp)
 	switch {
 	case resp.NotExecuted:
 		return q.handleRefusal(s, a, resp)
@@ -135,7 +136,7 @@
 	if errors.As(err, &failure) && !failure.Sent {
 		a.Reason = ReasonNotSent
 		if ctx.Err() == nil && !errors.Is(err, upstream.ErrTooManyConns) {
-			q.h.Health.RecordUnreachable(s.ID)
+			q.recordUnreachable(s, a, err)
 		}
 		return true
 	}
--- a/gateway/ingress/choose.go
+++ b/gateway/ingress/choose.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cassialatch.dev/gateway/cacheindex"
 	"cassialatch.dev/gateway/catalog"
 	"cassialatch.dev/gateway/load"
@@ -24,9 +26,12 @@
 	states := q.serverStates(all)
 	candidates := q.candidates(states[:len(servers)], q.sources(states))
 	i, cause := 0, placement.CauseLoad
-	if len(q.call.Parts) > 0 {
+	switch {
+	case q.refusedConnections() >= maxSends:
+		i, cause = placement.Random(candidates, xxhash.Sum64String(q.call.ID)), placement.CauseRandom
+	case len(q.call.Parts) > 0:
 		i, cause = placement.ChooseForPrompt(candidates, q.call.SharedParts())
-	} else {
+	default:
 		i = placement.LeastLoaded(candidates, q.h.Settings.Zone)
 	}
 	if i < 0 {
@@ -52,6 +57,7 @@
 	coverage  cacheindex.Coverage // of the prompt's shared parts, in the server's cache
 	usage     float64             // parts recently sent to the server, decayed exponentially
 	penalty   float64             // in requests in flight
+	pace      float64             // how long work takes, relative to the usual time; 0: as usual
 	inBackoff bool
 }
 
@@ -68,13 +74,18 @@
 	usage := make([]float64, len(servers))
 	q.h.CacheIndex.Usage(holders, usage)
 	coverage := make([]cacheindex.Coverage, len(servers))
-	if shared := q.call.SharedParts(); len(shared) > 0 {
-		q.h.CacheIndex.Lookup(shared, holders, coverage)
+	if parts := q.call.SharedParts(); len(parts) > 0 {
+		q.h.CacheIndex.Lookup(parts, holders, coverage)
 	}
+	shared := q.sharedStates(tags)
 	states := make([]serverState, len(servers))
 	for i, s := range servers {
 		penalty, inBackoff := q.h.Health.Penalty(s.ID)
 		states[i] = serverState{Server: s, work: work[i], coverage: coverage[i], usage: usage[i], penalty: penalty, inBackoff: inBackoff}
+		if shared != nil {
+			states[i].pace = shared[i].Pace
+			states[i].inBackoff = inBackoff || shared[i].Refused
+		}
 	}
 	return states
 }
@@ -106,7 +117,7 @@
 			continue
 		}
 		c := placement.Candidate{
-			ID: s.ID, Zone: s.Zone, InFlight: s.work.Requests, QueuedTokens: s.work.Tokens, Penalty: s.penalty,
+			ID: s.ID, Zone: s.Zone, InFlight: s.work.Requests, QueuedTokens: s.work.Tokens, Penalty: s.penalty, Pace: s.pace,
 			MissingTokens: s.coverage.MissingTokens, Ready: s.coverage.Ready, Usage: s.usage,
 		}
 		c.ChooseSource(sources)
--- a/gateway/ingress/crash.go
+++ b/gateway/ingress/crash.go
@@ -24,7 +24,7 @@
 	q.rec.Fingerprint = q.subject.Fingerprint
 	a.Listening = q.h.Pool.Probe(ctx, s, q.maxConns())
 	if a.Listening == upstream.ListeningNo {
-		q.h.Health.RecordUnreachable(s.ID)
+		q.recordRefused(s)
 	}
 	q.h.Quarantine.RecordCrash(&quarantine.Run{
 		Subject:    q.subject,
--- a/gateway/ingress/handler.go
+++ b/gateway/ingress/handler.go
@@ -28,6 +28,7 @@
 	"cassialatch.dev/gateway/quarantine"
 	"cassialatch.dev/gateway/retry"
 	"cassialatch.dev/gateway/route"
+	"cassialatch.dev/gateway/serverstate"
 	"cassialatch.dev/gateway/upstream"
 )
 
@@ -61,9 +62,11 @@
 	Budget     *retry.Budget
 	Quarantine *quarantine.Table
 	CacheIndex *cacheindex.Index
-	FleetSize  func() int // number of daemons that share the connection limit
-	Recorder   Recorder
-	Settings   Settings
+	// ServerState holds what all daemons observe about servers; nil: not used.
+	ServerState *serverstate.Table
+	FleetSize   func() int // number of daemons that share the connection limit
+	Recorder    Recorder
+	Settings    Settings
 	// TriggerExchange starts a gossip round at once, so that the peers soon
 	// receive which server is computing a prompt.
 	TriggerExchange func()
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -64,10 +64,11 @@
 // Attempt describes one attempt to have a backend server run a request.
 type Attempt struct {
 	Server        string
-	InFlight      int // requests on the server when it was chosen
-	QueuedTokens  int // prompt tokens that the server still had to compute when it was chosen
-	SharedTokens  int // tokens of the prompt's shared parts
-	MissingTokens int // shared tokens expected to be missing from the server's cache
+	InFlight      int     // requests on the server when it was chosen
+	QueuedTokens  int     // prompt tokens that the server still had to compute when it was chosen
+	SharedTokens  int     // tokens of the prompt's shared parts
+	MissingTokens int     // shared tokens expected to be missing from the server's cache
+	Pace          float64 // how long work took at the server when it was chosen, relative to the usual time; 0 or 1: as usual
 	Cause         placement.Cause
 	FetchedFrom   string // ID of the server to fetch missing tokens from; empty if there was none
 	Status        int
@@ -78,9 +79,10 @@
 	Detail        string // cause of a failure, for the log
 	Duration      time.Duration
 
-	start      time.Time
-	firstEvent time.Time // when the first complete event of a stream arrived; zero before
-	sound      bool      // it was recorded that the run does no harm
+	start       time.Time
+	connRefused bool      // the server has refused the connection, and the state of servers is used
+	firstEvent  time.Time // when the first complete event of a stream arrived; zero before
+	sound       bool      // it was recorded that the run does no harm
 }
 
 // Record describes a request that has ended.
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -7,7 +7,7 @@
 )
 
 // maxSends is the maximum number of servers that one request is sent to,
-// including those that refuse it.
+// including those that refuse it but not those that refuse the connection.
 const maxSends = 4
 
 // minRemaining is the minimum time before the deadline at which an attempt is
@@ -19,7 +19,7 @@
 func (q *request) run(ctx context.Context, w http.ResponseWriter) {
 	q.awaitCaches(ctx)
 	attempts := 0 // those in which a server may have run the request
-	for sends := 0; sends < maxSends; sends++ {
+	for q.mayTryServer() {
 		if ctx.Err() != nil {
 			q.endInterrupted(ctx, w)
 			return
