--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -37,6 +37,7 @@
 	"cassialatch.dev/gateway/quarantine"
 	"cassialatch.dev/gateway/reader"
 	"cassialatch.dev/gateway/retry"
+	"cassialatch.dev/gateway/serverstate"
 	"cassialatch.dev/gateway/upstream"
 )
 
@@ -90,6 +91,7 @@
 	loads      *load.Table
 	health     *health.Table
 	avoid      *avoid.Table
+	servers    *serverstate.Table // nil unless Settings.ServerState
 	pool       *upstream.Pool
 	quarantine *quarantine.Table
 	cacheIndex *cacheindex.Index
@@ -153,6 +155,11 @@
 		CachesKnown:     d.scanner.Done(),
 	}
 	d.quarantine.Log = d.log
+	if s.ServerState {
+		d.servers = serverstate.New(time.Now)
+		d.servers.OnUrgent = triggerExchange
+		d.handler.ServerState = d.servers
+	}
 	d.frontend = ingress.NewServer(d.handler)
 	d.pool.OnDial = d.countDial
 	d.registerGauges()
@@ -234,6 +241,10 @@
 	d.metrics.Gauge("response_memory_bytes", func() float64 { return float64(d.handler.Responses.Used()) })
 	d.metrics.Gauge("cache_news_lost", func() float64 { return float64(d.cacheIndex.DroppedUpdates()) })
 	d.metrics.Gauge("log_lines_dropped", func() float64 { return float64(d.writer.Dropped()) })
+	if d.servers != nil {
+		d.metrics.Gauge("servers_slow", func() float64 { slow, _ := d.servers.Count(); return float64(slow) })
+		d.metrics.Gauge("servers_refusing", func() float64 { _, refusing := d.servers.Count(); return float64(refusing) })
+	}
 }
 
 // ready reports whether callers may connect to this daemon: it has a
--- a/gateway/daemon/listen.go
+++ b/gateway/daemon/listen.go
@@ -29,6 +29,9 @@
 		return err
 	}
 	d.exchange.OnReject = d.datagramRejected
+	if d.servers != nil {
+		d.exchange.ShareServerState(d.servers)
+	}
 	dir := &directory.Directory{Self: s.Frontend, Ready: d.ready, Peers: d.peers}
 	endpoints := []struct {
 		address string
