--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -34,9 +35,11 @@
 	"cassialatch.dev/gateway/memory"
 	"cassialatch.dev/gateway/metrics"
 	"cassialatch.dev/gateway/peers"
+	"cassialatch.dev/gateway/placement"
 	"cassialatch.dev/gateway/quarantine"
 	"cassialatch.dev/gateway/reader"
 	"cassialatch.dev/gateway/retry"
+	"cassialatch.dev/gateway/serverstate"
 	"cassialatch.dev/gateway/upstream"
 )
 
@@ -90,6 +93,7 @@
 	loads      *load.Table
 	health     *health.Table
 	avoid      *avoid.Table
+	servers    *serverstate.Table // nil unless Settings.ServerState
 	pool       *upstream.Pool
 	quarantine *quarantine.Table
 	cacheIndex *cacheindex.Index
@@ -144,7 +148,7 @@
 		Quarantine:      d.quarantine,
 		CacheIndex:      d.cacheIndex,
 		FleetSize:       d.peers.FleetSize,
-		LargeFleet:      d.peers.LargeFleet,
+		Jitter:          d.placementJitter,
 		Recorder:        d,
 		Settings:        ingress.Settings{Zone: s.Zone, KeyLease: s.KeyLease, ConfigLag: s.ConfigLag},
 		Bodies:          memory.NewBudget(int64(float64(s.MemoryBytes) * bodyMemoryRatio)),
@@ -154,12 +158,26 @@
 		CachesKnown:     d.scanner.Done(),
 	}
 	d.quarantine.Log = d.log
+	if s.ServerState {
+		d.servers = serverstate.New(time.Now)
+		d.servers.OnUrgent = triggerExchange
+		d.handler.ServerState = d.servers
+	}
 	d.frontend = ingress.NewServer(d.handler)
 	d.pool.OnDial = d.countDial
 	d.registerGauges()
 	return d
 }
 
+// placementJitter returns the random load for the choice of a server. In a large fleet,
+// counts take several gossip rounds to arrive.
+func (d *Daemon) placementJitter() placement.Jitter {
+	if !d.peers.LargeFleet() {
+		return nil
+	}
+	return rand.ExpFloat64
+}
+
 // hostsOf returns the hosts of host:port addresses. It skips addresses that have
 // no port.
 func hostsOf(addresses []string) []string {
@@ -235,6 +253,10 @@
 	d.metrics.Gauge("response_memory_bytes", func() float64 { return float64(d.handler.Responses.Used()) })
 	d.metrics.Gauge("cache_news_lost", func() float64 { return float64(d.cacheIndex.DroppedUpdates()) })
 	d.metrics.Gauge("log_lines_dropped", func() float64 { return float64(d.writer.Dropped()) })
+	if d.servers != nil {
+		d.metrics.Gauge("servers_slow", func() float64 { slow, _ := d.servers.Count(); return float64(slow) })
+		d.metrics.Gauge("servers_refusing", func() float64 { _, refusing := d.servers.Count(); return float64(refusing) })
+	}
 }
 
 // ready reports whether callers may connect to this daemon: it has a
--- a/gateway/ingress/fixture_test.go
+++ b/gateway/ingress/fixture_test.go
@@ -22,6 +22,7 @@
 	"cassialatch.dev/gateway/health"
 	"cassialatch.dev/gateway/load"
 	"cassialatch.dev/gateway/memory"
+	"cassialatch.dev/gateway/placement"
 	"cassialatch.dev/gateway/quarantine"
 	"cassialatch.dev/gateway/retry"
 	"cassialatch.dev/gateway/route"
@@ -228,7 +229,7 @@
 		Quarantine:      quarantine.New(time.Now),
 		CacheIndex:      cacheindex.New(time.Now),
 		FleetSize:       func() int { return 1 },
-		LargeFleet:      func() bool { return false },
+		Jitter:          func() placement.Jitter { return nil },
 		Recorder:        f.records,
 		Settings:        Settings{KeyLease: 5 * time.Second},
 		Bodies:          memory.NewBudget(0),
--- a/gateway/ingress/handler.go
+++ b/gateway/ingress/handler.go
@@ -25,9 +25,11 @@
 	"cassialatch.dev/gateway/health"
 	"cassialatch.dev/gateway/load"
 	"cassialatch.dev/gateway/memory"
+	"cassialatch.dev/gateway/placement"
 	"cassialatch.dev/gateway/quarantine"
 	"cassialatch.dev/gateway/retry"
 	"cassialatch.dev/gateway/route"
+	"cassialatch.dev/gateway/serverstate"
 	"cassialatch.dev/gateway/upstream"
 )
 
@@ -61,12 +63,14 @@
 	Budget     *retry.Budget
 	Quarantine *quarantine.Table
 	CacheIndex *cacheindex.Index
-	FleetSize  func() int // number of daemons that share the connection limit
-	// LargeFleet reports whether the counts of other daemons take several gossip rounds to
-	// arrive.
-	LargeFleet func() bool
-	Recorder   Recorder
-	Settings   Settings
+	// ServerState holds what all daemons observe about servers; nil: not used.
+	ServerState *serverstate.Table
+	FleetSize   func() int // number of daemons that share the connection limit
+	// Jitter returns the random load for the choice of a server; nil while the counts of all
+	// daemons are recent.
+	Jitter   func() placement.Jitter
+	Recorder Recorder
+	Settings Settings
 	// TriggerExchange starts a gossip round at once, so that the peers soon
 	// receive which server is computing a prompt.
 	TriggerExchange func()
