quarantine: many servers that fail at once get no sound request refused

When a quarter of the servers failed within 100 ms, daemons refused all requests with a part that most prompts share. The requests that a failure interrupts are sent again at once, to servers of which some fail just after: three servers in a row went down, each with a run that had begun after the crash before, which is the evidence for a part that crashes servers. The same happened to single requests.

A part for which there is such evidence is now judged 0.3 s after the first of the crashes, and 1 s after it if other servers went down at their moment or if the runs differ in a more specific part. No further crash is needed. Crashes at whose moment three other servers went down do not count against a request, also if that becomes known later.

--- a/gateway/quarantine/ban.go
+++ b/gateway/quarantine/ban.go
@@ -13,7 +13,8 @@
 }
 
 // ban refuses requests from now on because of crashes, or extends a ban that exists. A
-// ban that other runs have disproved is not added. crashes is the number of crashes that
+// ban that other runs have disproved, or that is based on servers which failed together, is
+// not added. crashes is the number of crashes that
 // it is based on, for the log; 0 if another daemon has sent it. t.mu is held.
 func (t *Table) ban(b Ban, since, at time.Time, crashes int) {
 	t.expireBans()
@@ -31,7 +32,7 @@
 	}
 	added := &ban{Ban: Ban{Fingerprint: b.Fingerprint, Parts: slices.Clone(b.Parts), ServersDown: b.ServersDown}, since: since, at: at}
 	added.dropSound(t.sound)
-	if added.empty() || !added.active(t.now()) || t.disproved(added) {
+	if added.empty() || !added.active(t.now()) || t.disproved(added) || t.together(added) {
 		return
 	}
 	if len(t.bans) >= maxBans {
--- a/gateway/quarantine/crash.go
+++ b/gateway/quarantine/crash.go
@@ -51,6 +51,9 @@
 			b.at = c.at
 		}
 	}
+	if c.ServerDown {
+		t.liftTogether()
+	}
 	t.judge(c)
 }
 
--- a/gateway/quarantine/gossip.go
+++ b/gateway/quarantine/gossip.go
@@ -91,6 +91,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire()
+	t.judgeDeferred()
 	now := t.now()
 	var n News
 	for id, c := range t.crashes {
--- a/gateway/quarantine/judge.go
+++ b/gateway/quarantine/judge.go
@@ -8,13 +8,7 @@
 // judgeRequest bans the request of a crash if it has crashed often enough. t.mu is
 // held.
 func (t *Table) judgeRequest(latest *crash, known explanation) {
-	var suspects []*crash
-	for _, c := range t.crashes {
-		if c.Fingerprint == latest.Fingerprint && c.at.After(t.completed[c.Fingerprint].at) && !known.covers(c) {
-			suspects = append(suspects, c)
-		}
-	}
-	sortByTime(suspects)
+	suspects := t.apart(t.requestCrashes(latest.Fingerprint, known), known)
 	if down := serverCrashes(serversDown(suspects)); len(down) >= requestThreshold {
 		t.banFor(Ban{Fingerprint: latest.Fingerprint, ServersDown: true}, down)
 		return
@@ -26,6 +20,19 @@
 	}
 }
 
+// requestCrashes returns the crashes that interrupted a request since it last ran to its
+// end and that are not explained, sorted by time. t.mu is held.
+func (t *Table) requestCrashes(fingerprint uint64, known explanation) []*crash {
+	var list []*crash
+	for _, c := range t.crashes {
+		if c.Fingerprint == fingerprint && c.at.After(t.completed[fingerprint].at) && !known.covers(c) {
+			list = append(list, c)
+		}
+	}
+	sortByTime(list)
+	return list
+}
+
 // banFor bans what has caused the crashes, which are sorted by time. t.mu is held.
 func (t *Table) banFor(b Ban, crashes []*crash) {
 	t.ban(b, crashes[0].at, crashes[len(crashes)-1].at, len(crashes))
@@ -51,13 +58,21 @@
 
 // judgeParts bans the most specific part of a crash for which there is evidence: the
 // last one, since fewer requests have it. Parts that all of these crashed runs have are
-// banned together: only requests with all of them are refused. t.mu is held.
+// banned together: only requests with all of them are refused. If servers went down, that
+// waits until judgeAt. t.mu is held.
 func (t *Table) judgeParts(latest *crash, known explanation) {
 	for _, p := range slices.Backward(latest.Parts) {
-		if s := t.evidence(p, known); s != nil {
-			t.banFor(Ban{Parts: t.commonParts(s), ServersDown: !slices.ContainsFunc(s, func(c *crash) bool { return !c.ServerDown })}, s)
+		s := t.evidence(p, known)
+		if s == nil {
+			continue
+		}
+		down := !slices.ContainsFunc(s, func(c *crash) bool { return !c.ServerDown })
+		if due := t.judgeAt(s, known); down && t.now().Before(due) {
+			t.deferJudgement(p, latest, due)
 			return
 		}
+		t.banFor(Ban{Parts: t.commonParts(s), ServersDown: down}, s)
+		return
 	}
 }
 
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -86,8 +86,9 @@
 	// Quarantined is called when a ban takes effect. crashes is the number of
 	// crashes that it is based on, 0 if another daemon has sent it.
 	Quarantined(b Ban, crashes int)
-	// QuarantineLifted is called when a run has disproved a ban. If the ban names
-	// parts, lifted names the one that does no harm; the ban applies without it.
+	// QuarantineLifted is called when a run has disproved a ban, or when it has become
+	// known that the servers of a ban of a request failed together with others. If the ban
+	// names parts, lifted names the one that does no harm; the ban applies without it.
 	QuarantineLifted(lifted Ban)
 }
 
@@ -104,6 +105,7 @@
 	completed map[uint64]completion // latest run to the end of a request, by fingerprint, for those of crashes and bans
 	recent    [maxRecent]recentRun  // latest runs to the end, observed by this daemon
 	next      int                   // index in recent of the next run
+	deferred  []deferredJudgement   // of crashes for which it is too early
 }
 
 // completion is the latest run of a request to its end.
@@ -127,6 +129,7 @@
 func (t *Table) ShouldRefuse(s *Subject) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.judgeDeferred()
 	now := t.now()
 	return slices.ContainsFunc(t.bans, func(b *ban) bool { return b.active(now) && b.covers(s.Fingerprint, s.Parts) })
 }
