--- a/gateway/placement/jitter.go
+++ b/gateway/placement/jitter.go
@@ -9,13 +9,10 @@
 // differ by less than what the counts can have changed.
 type Jitter func() float64
 
-// jitterRatio is the mean of the random load relative to the mean load of the servers.
-const jitterRatio = 1
-
-// load returns the random load to add to one server.
+// load returns random load with the given mean.
 func (j Jitter) load(mean float64) float64 {
 	if j == nil {
 		return 0
 	}
-	return jitterRatio * mean * j()
+	return mean * j()
 }
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -65,14 +65,12 @@
 	return (c.load()+1)*c.pace() - 1
 }
 
-// excessLoad returns the load above the mean for the cost of a prompt. With jitter, the
-// load below the mean counts too: otherwise all daemons prefer the same of several servers
-// that they take for idle.
+// excessLoad returns the load above the mean for the cost of a prompt. An old count may be
+// too low by as much as it says, so the random load is in proportion to it: prompts stay at
+// servers that hold them and are idle.
 func (c *Candidate) excessLoad(mean float64, jitter Jitter) float64 {
-	if jitter == nil {
-		return math.Max(0, c.pacedLoad()-mean)
-	}
-	return c.pacedLoad() - mean + jitter.load(mean)
+	load := c.pacedLoad()
+	return math.Max(0, load+jitter.load(load)-mean)
 }
 
 // loadLimit returns the load that a server must be below to get a prompt. It
