quarantine: a part is judged at once unless other servers failed too

A part that the crashed runs end with is again refused at once, unless three other servers went down at the moment of one of the crashes; then it takes 1 s. A ban is lifted if such servers become known later (TestMerge_ServersThatFailedTogetherLiftABan, which fails without).

--- a/gateway/quarantine/massfailure_test.go
+++ b/gateway/quarantine/massfailure_test.go
@@ -247,7 +247,7 @@
 }
 
 // Load pattern: requests with a part that crashes servers come so fast that three of them
-// do so within 90 ms. No further crash is needed for it to be refused.
+// do so within 90 ms, and no other server fails. It is refused at once.
 func TestShouldRefuse_PartOfQuickCrashes(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(2)
@@ -257,8 +257,8 @@
 		f.now = f.now.Add(30 * time.Millisecond)
 		f.daemons[0].RecordCrash(&r)
 	}
+	is.Equal(f.refusing(first, bad), 1) // the daemon that knows of them
 	f.gossip()
-	f.now = f.now.Add(togetherTime)
 	is.Equal(f.refusing(first, bad), 2)
 	is.Equal(f.refusing(first, sound), 0)
 }
@@ -285,3 +285,39 @@
 	is.Equal(f.refusing(first, sound), 0)
 	is.Equal(f.refusing(first, bad), 2)
 }
+
+// Load pattern: a daemon first learns of the three failed servers that interrupted a request,
+// or requests with a part, one after the other; the reports of other servers that failed with
+// them arrive later, also at a daemon that has received the ban.
+func TestMerge_ServersThatFailedTogetherLiftABan(t *testing.T) {
+	for name, run := range map[string]func(n uint64) Run{
+		"of a request": func(uint64) Run { return starting(7, first, 40, 50) },
+		"of a part":    func(n uint64) Run { return starting(100+n, first, bad) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(3)
+			for n := range uint64(partThreshold) {
+				r := run(n)
+				r.Server, r.SentAt = uint32(n), f.now
+				f.now = f.now.Add(30 * time.Millisecond)
+				f.daemons[0].RecordCrash(&r)
+			}
+			subject := run(9).Subject
+			is.True(f.daemons[0].ShouldRefuse(&subject))
+			news := f.daemons[0].News()
+			f.daemons[1].Merge(&news)
+			is.True(f.daemons[1].ShouldRefuse(&subject))
+			for n := range uint64(minTogether) {
+				r := starting(60+n, first, sound+n)
+				r.Server, r.SentAt = uint32(20+n), f.now.Add(-time.Second)
+				f.daemons[2].RecordCrash(&r)
+			}
+			f.gossip()
+			f.gossip()
+			for _, d := range f.daemons {
+				is.True(!d.ShouldRefuse(&subject))
+			}
+		})
+	}
+}
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -87,7 +87,7 @@
 	// crashes that it is based on, 0 if another daemon has sent it.
 	Quarantined(b Ban, crashes int)
 	// QuarantineLifted is called when a run has disproved a ban, or when it has become
-	// known that the servers of a ban of a request failed together with others. If the ban
+	// known that its servers failed together with others. If a run has disproved a ban that
 	// names parts, lifted names the one that does no harm; the ban applies without it.
 	QuarantineLifted(lifted Ban)
 }
--- a/gateway/quarantine/together.go
+++ b/gateway/quarantine/together.go
@@ -10,10 +10,12 @@
 // which some fail just after. So a part of many prompts, or one request, seems to crash
 // one server after the other within some tens of milliseconds.
 //
-// A part is only banned some time after the first of its crashes: if it does no harm, runs
-// of other servers have shown that by then. A request is refused at once, since it is about
-// to be sent again, but crashes at whose moment several servers without the request went
-// down too do not count against it, also if that becomes known later.
+// So a crash at whose moment several other servers went down does not count against a
+// request. Nor does it against a part for now: that is judged reportTime after the first
+// crash, when runs on other servers have shown whether the part does harm. It is judged then
+// also if the runs differ in a more specific part. Otherwise both are refused at once, since
+// such a request is about to be sent again; if it becomes known later that other servers
+// went down, the ban is lifted.
 
 // minTogether is the number of other servers that must have gone down at the moment of a
 // crash to show that it is due to something else.
@@ -79,41 +81,60 @@
 	})
 }
 
-// together reports whether too few of the crashes that a ban of a request is based on
-// count, because other servers went down at the same moment. It is false if this daemon
-// does not know as many crashes of the request as the ban takes. t.mu is held.
+// together reports whether too few of the crashes that a ban is based on count, because
+// other servers went down at the same moment. It is false if this daemon does not know as
+// many crashes as the ban takes. t.mu is held.
 func (t *Table) together(b *ban) bool {
-	if len(b.Parts) > 0 || !b.ServersDown {
+	if !b.ServersDown {
 		return false
 	}
-	crashes := t.requestCrashes(b.Fingerprint, explanation{})
-	return len(serverCrashes(serversDown(crashes))) >= requestThreshold &&
-		len(serverCrashes(serversDown(t.apart(crashes, t.explanation())))) < requestThreshold
+	crashes := t.crashesOf(b)
+	return len(serverCrashes(crashes)) >= partThreshold && len(serverCrashes(t.apart(crashes, t.explanation()))) < partThreshold
 }
 
-// liftTogether lifts the bans of requests whose crashes do not count any more, after
-// another server went down. t.mu is held.
+// crashesOf returns the crashes of servers that a ban may be based on, sorted by time.
+// t.mu is held.
+func (t *Table) crashesOf(b *ban) []*crash {
+	var list []*crash
+	if len(b.Parts) == 0 {
+		list = t.requestCrashes(b.Fingerprint, explanation{})
+	} else {
+		for _, c := range t.crashes {
+			if c.AtStart && b.covers(c.Fingerprint, c.Parts) {
+				list = append(list, c)
+			}
+		}
+		sortByTime(list)
+	}
+	return serversDown(list)
+}
+
+// liftTogether lifts the bans whose crashes do not count any more, after another server
+// went down, and judges the crashes anew. t.mu is held.
 func (t *Table) liftTogether() {
+	var lifted []Ban
 	t.bans = slices.DeleteFunc(t.bans, func(b *ban) bool {
-		lifted := t.together(b)
-		if lifted && t.Log != nil {
-			t.Log.QuarantineLifted(b.Ban)
+		if !t.together(b) {
+			return false
 		}
-		return lifted
+		lifted = append(lifted, b.Ban)
+		return true
 	})
+	for i := range lifted {
+		if t.Log != nil {
+			t.Log.QuarantineLifted(lifted[i])
+		}
+		t.rejudge(&lifted[i])
+	}
 }
 
-// togetherTime is the time within which a daemon learns that servers went down at the same
-// moment. It is longer than sameMoment.
-const togetherTime = 300 * time.Millisecond
-
 // judgeAt returns from when on a part may be banned because of the crashes, all of servers
 // that went down. If other servers went down at their moment, or if the runs have other
 // last parts, each of which fewer requests have, it takes the reports of all runs. t.mu is
 // held.
 func (t *Table) judgeAt(crashes []*crash, known explanation) time.Time {
 	if sameLastPart(crashes) && len(t.apart(crashes, known)) == len(crashes) {
-		return crashes[0].at.Add(togetherTime)
+		return crashes[0].at
 	}
 	return crashes[0].at.Add(reportTime)
 }
