--- a/gateway/daemon/daemon_test.go
+++ b/gateway/daemon/daemon_test.go
@@ -1,14 +1,20 @@
 package daemon
 
 import (
+	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"cassialatch.dev/gateway/boottime"
 	"cassialatch.dev/gateway/call"
 	"cassialatch.dev/gateway/catalog"
+	"cassialatch.dev/gateway/directory"
 	"cassialatch.dev/gateway/peers"
 	"cassialatch.dev/gateway/route"
 )
@@ -60,3 +66,45 @@
 	t.Cleanup(func() { l.Close() })
 	return l
 }
+
+// Where the settings ask for it, the daemon shares and shows the state of servers.
+func TestNew_ServerStateOnlyIfAskedFor(t *testing.T) {
+	for _, asked := range []bool{false, true} {
+		is := is.New(t)
+		d := New(Settings{Name: "d", ServerState: asked, Retry: RetryBudget{Window: time.Second}}, Adapter{Dialect: dialect{}})
+		is.Equal(d.handler.ServerState != nil, asked)
+		w := httptest.NewRecorder()
+		d.metrics.ServeHTTP(w, nil)
+		is.Equal(strings.Contains(w.Body.String(), "cassialatch_servers_slow 0\n"), asked)
+		is.Equal(strings.Contains(w.Body.String(), "cassialatch_servers_refusing 0\n"), asked)
+	}
+}
+
+// A refused connection is reported to the peers.
+func TestDaemon_ReportsRefusedConnection(t *testing.T) {
+	is := is.New(t)
+	peer, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 2)})
+	is.NoErr(err)
+	defer peer.Close()
+	port := peer.LocalAddr().(*net.UDPAddr).Port
+	d := New(Settings{
+		Name: "d", IP: "127.0.0.1", ServerState: true, Retry: RetryBudget{Window: time.Second}, Seeds: []string{"127.0.0.2:1"},
+		Exchange: fmt.Sprint("127.0.0.1:", port), Control: "127.0.0.1:0", Directory: "127.0.0.1:0", Readiness: "127.0.0.1:0", Frontend: "127.0.0.1:0",
+	}, Adapter{
+		Dialect:          dialect{},
+		DirectoryHandler: func(*directory.Directory) http.Handler { return http.NotFoundHandler() },
+		ReadinessHandler: func(func() bool) http.Handler { return http.NotFoundHandler() },
+	})
+	is.NoErr(d.startListeners(t.Context()))
+	go d.exchange.Run(t.Context())
+	size := func() int { // of the next datagram
+		is.NoErr(peer.SetReadDeadline(time.Now().Add(10 * time.Second))) // only ends a hang
+		n, err := peer.Read(make([]byte, 64<<10))
+		is.NoErr(err)
+		return n
+	}
+	quiet := size()
+	d.handler.ServerState.RecordRefused(5)
+	for size() <= quiet { // rounds that had begun before
+	}
+}
