catalog, platform: read how long servers are cold

A server that has just started publishes coldRemainingMs, and a service states coldStartS and coldPerS. They are decoded with the checks for other numbers; an entry or a document with an odd one is rejected.

The value is rounded up to powers of two from 4,096 ms: servers publish it with each heartbeat, and a change of the state costs every daemon a fetch. The result depends on the entry alone, so all daemons that read the store agree. The content hash covers it only where it is set, without reflection, so that it is that of earlier builds for other deployments.

--- a/gateway/catalog/catalog.go
+++ b/gateway/catalog/catalog.go
@@ -9,7 +9,6 @@
 package catalog
 
 import (
-	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -32,6 +31,9 @@
 	Zone     string `json:"zone"`
 	Slots    int    `json:"slots,omitempty"`
 	Draining bool   `json:"draining,omitempty"`
+	// ColdRemaining is how much longer the server is cold, in milliseconds, rounded up
+	// by RoundCold; 0: it is warm.
+	ColdRemaining int64 `json:"cold_ms,omitempty"`
 }
 
 // SortServers sorts servers by ID in place.
@@ -86,6 +88,13 @@
 	mu      sync.Mutex
 	state   State
 	changed chan struct{} // closed and replaced when the contents change
+
+	// BeforeChange, if not nil, is called with the view in force and the one that is
+	// about to replace it whenever the contents of the state change, so that what
+	// depends on them is ready before a request uses them. The new state was complete at
+	// the given time. Calls are not concurrent, and must not call methods of the catalog
+	// that lock it. It must be set before the first call of Adopt.
+	BeforeChange func(old, next *View, at boottime.Instant)
 }
 
 // New returns an empty catalog that measures ages with the given clock.
@@ -159,7 +168,11 @@
 		next.Revision = s.Revision
 		c.view.Store(&next)
 	} else {
-		c.view.Store(newView(s, table))
+		next := newView(s, table)
+		if c.BeforeChange != nil {
+			c.BeforeChange(old, next, at)
+		}
+		c.view.Store(next)
 		close(c.changed)
 		c.changed = make(chan struct{})
 	}
@@ -194,17 +207,6 @@
 	}
 }
 
-// contentHash returns the hash of everything that determines how requests are
-// served: the revision of the configuration document and the servers.
-func contentHash(s *State) uint64 {
-	h := xxhash.New()
-	fmt.Fprintf(h, "%d", s.RawRev)
-	for i := range s.Servers {
-		fmt.Fprintf(h, "|%+v", s.Servers[i])
-	}
-	return h.Sum64()
-}
-
 // newView indexes the servers of a state.
 func newView(s State, table *route.Table) *View {
 	v := &View{
--- a/gateway/catalog/catalog_test.go
+++ b/gateway/catalog/catalog_test.go
@@ -1,9 +1,13 @@
 package catalog
 
 import (
+	"encoding/json"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 
 	"cassialatch.dev/gateway/boottime"
@@ -126,3 +130,82 @@
 		is.Equal(int64(end)-int64(age), revision)
 	}
 }
+
+// plainServer has the fields of Server in the build before cold servers.
+type plainServer struct {
+	ID       string
+	Born     int64
+	Service  string
+	Address  string
+	Zone     string
+	Slots    int
+	Draining bool
+}
+
+// Guards against daemons of two builds that never agree on the state of a deployment
+// without cold servers, so that each fetches it from the other at every revision.
+func TestContentHash_SameAsInEarlierBuildsWithoutColdServers(t *testing.T) {
+	is := is.New(t)
+	s := State{RawRev: 9, Servers: []Server{
+		{ID: "a", Born: 1790000000000, Service: "s", Address: "10.0.0.1:80", Zone: "z 1", Slots: 16},
+		{ID: "b", Service: "t", Draining: true},
+	}}
+	h := xxhash.New()
+	fmt.Fprintf(h, "%d", s.RawRev)
+	for _, srv := range s.Servers {
+		fmt.Fprintf(h, "|%+v", plainServer{srv.ID, srv.Born, srv.Service, srv.Address, srv.Zone, srv.Slots, srv.Draining})
+	}
+	is.Equal(contentHash(&s), h.Sum64())
+	b, err := json.Marshal(s.Servers[1])
+	is.NoErr(err)
+	is.True(!strings.Contains(string(b), "cold"))
+
+	s.Servers[0].ColdRemaining = 4096
+	is.True(contentHash(&s) != h.Sum64())
+}
+
+// Load pattern: many servers come back cold together and publish with each heartbeat how
+// much longer they are cold. Guards against a state that changes with each heartbeat, and
+// against a server that counts as warm too early.
+func TestRoundCold_ChangesRarelyAndNeverShortens(t *testing.T) {
+	const heartbeat = 1200 * time.Millisecond
+	for cold, changes := range map[time.Duration]int{3 * time.Second: 1, 60 * time.Second: 5, time.Hour: 11} {
+		is := is.New(t)
+		previous := RoundCold(cold)
+		counted := 0
+		for remaining := cold; remaining > -heartbeat; remaining -= heartbeat {
+			rounded := RoundCold(remaining)
+			is.True(rounded >= remaining)
+			is.True(rounded <= max(2*remaining, 4096*time.Millisecond))
+			if rounded != previous {
+				counted++
+			}
+			previous = rounded
+		}
+		is.Equal(previous, time.Duration(0))
+		is.True(counted <= changes)
+	}
+	is := is.New(t)
+	is.Equal(RoundCold(time.Nanosecond), 4096*time.Millisecond)
+	is.Equal(RoundCold(4097*time.Millisecond), 8192*time.Millisecond)
+	is.True(RoundCold(1000*24*time.Hour).Milliseconds() <= maxCold) // the longest that platform accepts
+}
+
+// Guards against a request that uses a new state before what depends on it is ready, and
+// against calls for revisions that change nothing.
+func TestBeforeChange_CalledBeforeNewViewIsInForce(t *testing.T) {
+	is := is.New(t)
+	c := New((&fakeClock{now: 50}).read)
+	var calls int
+	c.BeforeChange = func(old, next *View, at boottime.Instant) {
+		calls++
+		is.Equal(c.View(), old)
+		is.True(next != old)
+		is.Equal(at, boottime.Instant(40))
+	}
+	is.True(c.Adopt(State{Revision: 1, Servers: []Server{{ID: "a"}}}, tableVersion(1), 40))
+	is.True(c.Adopt(State{Revision: 2, Servers: []Server{{ID: "a"}}}, nil, 45))
+	is.Equal(calls, 1)
+	is.True(c.Adopt(State{Revision: 3, Servers: []Server{{ID: "a", ColdRemaining: 4096}}}, nil, 40))
+	is.Equal(calls, 2)
+}
--- a/gateway/catalog/check.go
+++ b/gateway/catalog/check.go
@@ -27,6 +27,8 @@
 	maxSlots   = 1 << 20
 	// maxBorn is the last millisecond of the year 9999.
 	maxBorn = 253402300799999
+	// maxCold is more than 1000 days, in milliseconds.
+	maxCold = 1 << 37
 )
 
 // Causes of a ServerError.
@@ -54,6 +56,8 @@
 		field, cause = "Slots", ErrOutOfRange
 	case s.Born < 0 || s.Born > maxBorn:
 		field, cause = "Born", ErrOutOfRange
+	case s.ColdRemaining < 0 || s.ColdRemaining > maxCold:
+		field, cause = "ColdRemaining", ErrOutOfRange
 	default:
 		return nil
 	}
--- a/gateway/route/route.go
+++ b/gateway/route/route.go
@@ -76,6 +76,10 @@
 	Name        string
 	MaxConns    int // connections that one server accepts from all daemons together
 	CacheTokens int // capacity of the cache of one server; 0: the service has no cache
+	// ColdPerSecond is how many requests per second, of all daemons together, a server
+	// tolerates that has started within ColdStart. Servers are never cold if either is 0.
+	ColdPerSecond float64
+	ColdStart     time.Duration
 }
 
 // Workspace is one customer.
