upstream: report idle connections that a server has closed early

A server that restarts under the same ID closes its idle connections before their idle timeout. CheckIdle finds that out before a request is placed.

--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -191,25 +191,29 @@
 	return optErr
 }
 
-// usable reports whether an idle connection is still open and has no unread
-// data. Data that arrives while no request is in flight belongs to no response,
-// so such a connection must not be reused.
-func (c *conn) usable() bool {
+// check reports whether an idle connection can be reused, and whether the server has
+// closed it. Data that arrives while no request is in flight belongs to no response, so
+// a connection that has unread data must not be reused.
+func (c *conn) check() (usable, closed bool) {
 	if c.unread() {
-		return false
+		return false, false
 	}
 	raw, err := c.tcp.SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
-	empty := false
+	var n int
+	var readErr error
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		empty = err == unix.EAGAIN
+		n, _, readErr = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		return true
 	})
-	return err == nil && empty
+	if err != nil {
+		return false, false
+	}
+	end := readErr == nil && n == 0
+	return errors.Is(readErr, unix.EAGAIN), end || errors.Is(readErr, unix.ECONNRESET)
 }
 
 // abort closes the connection with a TCP reset, so that the server stops work
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -58,7 +58,7 @@
 // get returns an idle connection or opens one. maxConns limits this daemon's
 // connections to the server; 0 means no limit.
 func (p *Pool) get(ctx context.Context, s *catalog.Server, maxConns int) (*conn, error) {
-	if c := p.takeIdle(s.ID); c != nil {
+	if c, _ := p.takeIdle(s.ID); c != nil {
 		return c, nil
 	}
 	return p.open(ctx, s, maxConns)
@@ -111,22 +111,46 @@
 	return ListeningUnknown
 }
 
+// CheckIdle reports whether the server has closed idle connections before their idle
+// timeout, as one that restarts does. It looks at them only until it finds one that can
+// be used for the next request.
+func (p *Pool) CheckIdle(id string) (closedEarly bool) {
+	c, closedEarly := p.takeIdle(id)
+	if c != nil {
+		p.pushIdle(id, c)
+	}
+	return closedEarly
+}
+
 // takeIdle removes the most recently used idle connection that is still usable
 // from the pool and closes those that are not. It returns nil if there is none.
-func (p *Pool) takeIdle(id string) *conn {
+// closedEarly reports whether the server has closed one of them before its idle
+// timeout.
+func (p *Pool) takeIdle(id string) (c *conn, closedEarly bool) {
 	for {
 		c := p.popIdle(id)
 		if c == nil {
-			return nil
+			return nil, closedEarly
 		}
-		if time.Now().Before(c.idleUntil) && c.usable() {
-			return c
+		if time.Now().Before(c.idleUntil) {
+			usable, closed := c.check()
+			if usable {
+				return c, closedEarly
+			}
+			closedEarly = closedEarly || closed
 		}
 		c.tcp.Close()
 		p.releaseSlot(id)
 	}
 }
 
+// pushIdle adds an idle connection that is counted as open already.
+func (p *Pool) pushIdle(id string, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.servers[id].idle = append(p.servers[id].idle, c)
+}
+
 // popIdle removes the most recently used idle connection, usable or not.
 func (p *Pool) popIdle(id string) *conn {
 	p.mu.Lock()
@@ -183,9 +207,7 @@
 		return
 	}
 	c.idleUntil = time.Now().Add(idle)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.servers[id].idle = append(p.servers[id].idle, c)
+	p.pushIdle(id, c)
 }
 
 // Expire closes idle connections that have reached their idle timeout and those
