ingress: send cold servers requests only in their turn

A server that had just started got all requests, since it had none in flight. It is now a candidate only in the turn of this daemon, also for a resumed stream. If only such servers are left, the request is refused as not run (servers_cold) with the time until the next turn. Servers that refuse or break a connection, also an idle one, count as cold. Services that state no limit are served as before: the only extra work is a comparison of two fields of the service.

Log field cold, metrics cassialatch_cold_servers and cassialatch_cold_deferred_total.

--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -38,6 +39,7 @@
 	"cassialatch.dev/gateway/reader"
 	"cassialatch.dev/gateway/retry"
 	"cassialatch.dev/gateway/upstream"
+	"cassialatch.dev/gateway/warmup"
 )
 
 // Adapter holds the parts of the gateway that are specific to a deployment.
@@ -90,6 +92,7 @@
 	loads      *load.Table
 	health     *health.Table
 	avoid      *avoid.Table
+	warmup     *warmup.Table
 	pool       *upstream.Pool
 	quarantine *quarantine.Table
 	cacheIndex *cacheindex.Index
@@ -131,6 +134,8 @@
 	d.self = peers.Self{IP: s.IP, Zone: s.Zone, Seeds: hostsOf(s.Seeds)}
 	d.peers = peers.NewTable(d.self, boottime.Now, c)
 	triggerExchange := func() { d.exchange.Trigger() } // d.exchange is set by Run
+	d.warmup = warmup.New(time.Now, d.peers.FleetSize, rand.Float64)
+	c.BeforeChange = d.beforeStateChange
 	d.scanner = cachescan.New(a.Lister, c, d.cacheIndex, d.peers, d.self, triggerExchange, d.log)
 	d.reader = reader.New(a.Source, c, d.peers, boottime.Now, readerLog{d.log, d.metrics})
 	d.handler = &ingress.Handler{
@@ -140,6 +145,7 @@
 		Loads:           d.loads,
 		Health:          d.health,
 		Avoid:           d.avoid,
+		Warmup:          d.warmup,
 		Budget:          retry.New(retry.Options(s.Retry), d.peers.FleetSize, time.Now),
 		Quarantine:      d.quarantine,
 		CacheIndex:      d.cacheIndex,
@@ -176,6 +182,14 @@
 func (d *Daemon) Record(r *ingress.Record) {
 	d.log.Request(r)
 	d.metrics.Request(r.Service, string(r.Outcome), string(r.Reason), r.FirstByte, r.Duration)
+	for range r.ColdDeferred {
+		d.metrics.Count("cold_deferred")
+	}
+}
+
+// beforeStateChange is the catalog's BeforeChange.
+func (d *Daemon) beforeStateChange(_, next *catalog.View, _ boottime.Instant) {
+	d.warmup.ObserveState(next)
 }
 
 // PeerFetchFailed implements peers.FetchLog. It logs and counts the failure.
@@ -232,6 +246,7 @@
 	d.metrics.Gauge("server_connections", func() float64 { return float64(d.pool.OpenConns()) })
 	d.metrics.Gauge("body_memory_bytes", func() float64 { return float64(d.handler.Bodies.Used()) })
 	d.metrics.Gauge("response_memory_bytes", func() float64 { return float64(d.handler.Responses.Used()) })
+	d.metrics.Gauge("cold_servers", func() float64 { return float64(d.warmup.Cold()) })
 	d.metrics.Gauge("cache_news_lost", func() float64 { return float64(d.cacheIndex.DroppedUpdates()) })
 	d.metrics.Gauge("log_lines_dropped", func() float64 { return float64(d.writer.Dropped()) })
 }
--- a/gateway/daemon/maintain.go
+++ b/gateway/daemon/maintain.go
@@ -32,7 +32,9 @@
 		d.cacheIndex.Expire(func(h cacheindex.Holder) bool { return holders[h] })
 		d.pool.Expire(func(id string) bool { return listed[id] })
 		d.health.Expire()
-		d.avoid.Expire(func(s catalog.Incarnation) bool { return view.Servers[s] != nil })
+		isListed := func(s catalog.Incarnation) bool { return view.Servers[s] != nil }
+		d.avoid.Expire(isListed)
+		d.warmup.Expire(isListed)
 		if view.Table != nil {
 			for range d.frontend.CloseIdle(view.Table.Limits().IdleTimeout) {
 				d.metrics.Count("idle_connections_closed")
--- a/gateway/eventlog/log.go
+++ b/gateway/eventlog/log.go
@@ -90,6 +90,9 @@
 	if a.Status != 0 {
 		e.Int("status", a.Status)
 	}
+	if a.Cold {
+		e.Bool("cold", true)
+	}
 	if a.Leaving {
 		e.Bool("leaving", true)
 	}
--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -33,7 +33,7 @@
 // server may be tried.
 func (q *request) attempt(ctx context.Context, w http.ResponseWriter, s *catalog.Server, chosen choice) bool {
 	q.tried[s.ID] = true
-	q.rec.Attempts = append(q.rec.Attempts, Attempt{start: time.Now(), Server: s.ID, InFlight: chosen.InFlight, QueuedTokens: chosen.QueuedTokens, SharedTokens: q.sharedTokens(), MissingTokens: chosen.MissingTokens, Cause: chosen.cause})
+	q.rec.Attempts = append(q.rec.Attempts, Attempt{start: time.Now(), Server: s.ID, InFlight: chosen.InFlight, QueuedTokens: chosen.QueuedTokens, SharedTokens: q.sharedTokens(), MissingTokens: chosen.MissingTokens, Cause: chosen.cause, Cold: chosen.cold})
 	a := q.lastAttempt()
 	q.loadEntry = q.h.Loads.Begin(s.Tag(), q.tokensToCompute(chosen.MissingTokens))
 	q.h.CacheIndex.MarkPending(q.call.SharedParts(), cacheindex.Holder(s.Tag()))
@@ -135,7 +135,7 @@
 	if errors.As(err, &failure) && !failure.Sent {
 		a.Reason = ReasonNotSent
 		if ctx.Err() == nil && !errors.Is(err, upstream.ErrTooManyConns) {
-			q.h.Health.RecordUnreachable(s.ID)
+			q.recordUnreachable(s)
 		}
 		return true
 	}
@@ -161,7 +161,7 @@
 	a.Reason = ReasonServerRefused
 	if resp.Status == http.StatusMisdirectedRequest {
 		a.Reason = ReasonMisdirected
-		q.h.Health.RecordUnreachable(s.ID)
+		q.recordUnreachable(s)
 	} else {
 		q.h.Health.RecordRefusal(s.ID)
 	}
--- a/gateway/ingress/avoid.go
+++ b/gateway/ingress/avoid.go
@@ -25,21 +25,40 @@
 	return q.h.Avoid.Leaving(s.Incarnation()) || q.h.Avoid.Pause(s.Incarnation()) > 0
 }
 
-// giveUpWithoutServer ends a request for which no server is left. If some have asked
-// for a pause, the caller is told when the first of these ends.
+// giveUpWithoutServer ends a request for which no server is left.
 func (q *request) giveUpWithoutServer(w http.ResponseWriter) {
-	reason, retryAfter := ReasonNoServer, noServerRetryAfter
-	var first time.Duration
+	reason, retryAfter := q.whyNoServer()
+	q.giveUp(w, reason, retryAfter)
+}
+
+// whyNoServer returns why no server is left, and when the caller should come back. If some
+// servers have asked for a pause or are cold, that is when the first of them may be sent a
+// request.
+func (q *request) whyNoServer() (Reason, time.Duration) {
+	var pause, cold time.Duration // the shortest; 0: none
 	for _, s := range q.h.Catalog.View().ByService[q.service.Name] {
 		if q.h.Avoid.Leaving(s.Incarnation()) {
 			continue
 		}
-		if p := q.h.Avoid.Pause(s.Incarnation()); p > 0 && (first == 0 || p < first) {
-			first = p
+		if p := q.h.Avoid.Pause(s.Incarnation()); p > 0 {
+			pause = shorter(pause, p)
+		} else if !q.tried[s.ID] {
+			cold = shorter(cold, q.untilTurn(s))
 		}
 	}
-	if first > 0 {
-		reason, retryAfter = ReasonServersPaused, max(first, noServerRetryAfter)
+	switch {
+	case cold > 0 && (pause == 0 || cold <= pause):
+		return ReasonServersCold, cold
+	case pause > 0:
+		return ReasonServersPaused, max(pause, noServerRetryAfter)
 	}
-	q.giveUp(w, reason, retryAfter)
+	return ReasonNoServer, noServerRetryAfter
+}
+
+// shorter returns the shorter of two durations, of which 0 means none.
+func shorter(a, b time.Duration) time.Duration {
+	if a == 0 || b > 0 && b < a {
+		return b
+	}
+	return a
 }
--- a/gateway/ingress/choose.go
+++ b/gateway/ingress/choose.go
@@ -2,11 +2,13 @@
 
 import (
 	"slices"
+	"time"
 
 	"cassialatch.dev/gateway/cacheindex"
 	"cassialatch.dev/gateway/catalog"
 	"cassialatch.dev/gateway/load"
 	"cassialatch.dev/gateway/placement"
+	"cassialatch.dev/gateway/warmup"
 )
 
 // choice describes the chosen server and the reason for choosing it.
@@ -14,10 +16,22 @@
 	placement.Candidate
 	cause  placement.Cause
 	source *catalog.Server // server to fetch cached parts from that the chosen one lacks; nil if there is none
+	cold   bool            // the server is cold
 }
 
 // choose returns the server for the next attempt; nil if there is none.
 func (q *request) choose() (*catalog.Server, choice) {
+	for {
+		server, chosen := q.place()
+		if server == nil || q.takeTurn(server, &chosen) {
+			return server, chosen
+		}
+	}
+}
+
+// place returns the best of the servers that may be sent the request now; nil if there is
+// none.
+func (q *request) place() (*catalog.Server, choice) {
 	view := q.h.Catalog.View()
 	servers := view.ByService[q.service.Name]
 	all := slices.Concat(servers, view.DrainingByService[q.service.Name])
@@ -53,6 +67,8 @@
 	usage     float64             // parts recently sent to the server, decayed exponentially
 	penalty   float64             // in requests in flight
 	inBackoff bool
+	cold      bool
+	coldWait  time.Duration // for which it may be sent nothing, since it is cold
 }
 
 // serverStates returns the state of each server, in the order of servers.
@@ -76,6 +92,11 @@
 		penalty, inBackoff := q.h.Health.Penalty(s.ID)
 		states[i] = serverState{Server: s, work: work[i], coverage: coverage[i], usage: usage[i], penalty: penalty, inBackoff: inBackoff}
 	}
+	if warmup.LimitOf(q.service).Applies() {
+		for i := range states {
+			states[i].coldWait, states[i].cold = q.h.Warmup.Wait(servers[i].Incarnation())
+		}
+	}
 	return states
 }
 
@@ -97,29 +118,44 @@
 }
 
 // candidates returns the servers that were not tried yet, want requests and are not in
-// backoff; if there are none, those in backoff.
+// backoff; if there are none, those in backoff. Cold servers are left out while they may be
+// sent nothing. Before the daemon knows the size of the fleet, they come last of all.
 func (q *request) candidates(states []serverState, sources []placement.Source) []placement.Candidate {
-	var ready, backingOff []placement.Candidate
+	var ready, backingOff, cold []placement.Candidate
+	deferred := false // a cold server was left out
 	for i := range states {
 		s := &states[i]
 		if q.tried[s.ID] || q.avoided(s.Server) {
 			continue
 		}
+		if s.coldWait > 0 {
+			deferred = true
+			continue
+		}
 		c := placement.Candidate{
 			ID: s.ID, Zone: s.Zone, InFlight: s.work.Requests, QueuedTokens: s.work.Tokens, Penalty: s.penalty,
 			MissingTokens: s.coverage.MissingTokens, Ready: s.coverage.Ready, Usage: s.usage,
 		}
 		c.ChooseSource(sources)
-		if s.inBackoff {
+		switch {
+		case s.cold && !q.h.Warmup.KnowsFleet():
+			cold = append(cold, c)
+		case s.inBackoff:
 			backingOff = append(backingOff, c)
-		} else {
+		default:
 			ready = append(ready, c)
 		}
 	}
-	if len(ready) == 0 {
+	if deferred {
+		q.rec.ColdDeferred++
+	}
+	switch {
+	case len(ready) > 0:
+		return ready
+	case len(backingOff) > 0:
 		return backingOff
 	}
-	return ready
+	return cold
 }
 
 // tokensToCompute estimates how many tokens of the prompt a server has to
--- /dev/null
+++ b/gateway/ingress/cold.go
@@ -0,0 +1,52 @@
+package ingress
+
+import (
+	"time"
+
+	"cassialatch.dev/gateway/catalog"
+	"cassialatch.dev/gateway/warmup"
+)
+
+// takeTurn returns false if the server, which place has returned, is cold and may not be
+// sent the request now: it turns out only here that it may have restarted, or another
+// request was faster.
+func (q *request) takeTurn(s *catalog.Server, chosen *choice) bool {
+	limit := warmup.LimitOf(q.service)
+	if !limit.Applies() {
+		return true
+	}
+	if q.h.Pool.CheckIdle(s.ID) {
+		q.h.Warmup.Suspect(s.Incarnation(), limit)
+	}
+	ok, cold := q.h.Warmup.Take(s.Incarnation())
+	chosen.cold = cold
+	return ok
+}
+
+// suspect records that the server of an attempt may have restarted.
+func (q *request) suspect(s *catalog.Server) {
+	q.h.Warmup.Suspect(s.Incarnation(), warmup.LimitOf(q.service))
+}
+
+// recordUnreachable records that the server of an attempt could not be reached.
+func (q *request) recordUnreachable(s *catalog.Server) {
+	q.h.Health.RecordUnreachable(s.ID)
+	q.suspect(s)
+}
+
+// minColdRetryAfter is the shortest Retry-After for a request that only cold servers are
+// left for. The header has milliseconds.
+const minColdRetryAfter = time.Millisecond
+
+// untilTurn returns the time until a server that is cold may be sent a request, rounded up
+// to milliseconds. It returns 0 if the server is not cold.
+func (q *request) untilTurn(s *catalog.Server) time.Duration {
+	if !warmup.LimitOf(q.service).Applies() {
+		return 0
+	}
+	wait, cold := q.h.Warmup.Wait(s.Incarnation())
+	if !cold {
+		return 0
+	}
+	return wait.Truncate(time.Millisecond) + minColdRetryAfter
+}
--- a/gateway/ingress/crash.go
+++ b/gateway/ingress/crash.go
@@ -22,6 +22,7 @@
 		q.rec.CrashParts = append(q.rec.CrashParts, cacheindex.KeyOf(p))
 	}
 	q.rec.Fingerprint = q.subject.Fingerprint
+	q.suspect(s)
 	a.Listening = q.h.Pool.Probe(ctx, s, q.maxConns())
 	if a.Listening == upstream.ListeningNo {
 		q.h.Health.RecordUnreachable(s.ID)
--- a/gateway/ingress/fixture_test.go
+++ b/gateway/ingress/fixture_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -26,6 +27,7 @@
 	"cassialatch.dev/gateway/retry"
 	"cassialatch.dev/gateway/route"
 	"cassialatch.dev/gateway/upstream"
+	"cassialatch.dev/gateway/warmup"
 )
 
 // twoParts holds the prompt of requests whose Parts header does not list any IDs.
@@ -224,6 +226,7 @@
 		Loads:           load.New(time.Now),
 		Health:          health.New(time.Now),
 		Avoid:           avoid.New(time.Now),
+		Warmup:          warmup.New(time.Now, func() int { return 1 }, rand.Float64),
 		Budget:          retry.New(retry.Options{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, func() int { return 1 }, time.Now),
 		Quarantine:      quarantine.New(time.Now),
 		CacheIndex:      cacheindex.New(time.Now),
--- a/gateway/ingress/handler.go
+++ b/gateway/ingress/handler.go
@@ -29,6 +29,7 @@
 	"cassialatch.dev/gateway/retry"
 	"cassialatch.dev/gateway/route"
 	"cassialatch.dev/gateway/upstream"
+	"cassialatch.dev/gateway/warmup"
 )
 
 // Settings configures a Handler.
@@ -58,6 +59,7 @@
 	Loads      *load.Table
 	Health     *health.Table
 	Avoid      *avoid.Table
+	Warmup     *warmup.Table
 	Budget     *retry.Budget
 	Quarantine *quarantine.Table
 	CacheIndex *cacheindex.Index
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -49,6 +49,7 @@
 	ReasonStopped          Reason = "daemon_stopped" // the drain ended before the request did
 	ReasonNoServer         Reason = "no_server"
 	ReasonServersPaused    Reason = "servers_paused" // all servers left have asked for a pause
+	ReasonServersCold      Reason = "servers_cold"   // the servers left are cold, and may not be sent a request yet
 	ReasonRetryBudget      Reason = "retry_budget_spent"
 	ReasonDeadline         Reason = "deadline"
 	ReasonNotSent          Reason = "not_sent"
@@ -69,6 +70,7 @@
 	SharedTokens  int // tokens of the prompt's shared parts
 	MissingTokens int // shared tokens expected to be missing from the server's cache
 	Cause         placement.Cause
+	Cold          bool   // the server was cold when it was chosen
 	FetchedFrom   string // ID of the server to fetch missing tokens from; empty if there was none
 	Status        int
 	Leaving       bool               // the server said that it is leaving
@@ -104,6 +106,7 @@
 	Duration      time.Duration
 	Writes        int                  // writes of stream events to the caller
 	Resumptions   int                  // attempts that resumed a stream on another server
+	ColdDeferred  int                  // choices that left out a cold server
 	Fingerprint   uint64               // of the request's content, if a connection broke while a server ran it; else 0
 	CrashParts    []cacheindex.PartKey // shared parts of the prompt, in order, if a connection broke while a server ran the request
 	Panic         *Panic               // nil unless the handler panicked
