--- a/gateway/daemon/maintain.go
+++ b/gateway/daemon/maintain.go
@@ -35,7 +35,9 @@
 		if d.servers != nil {
 			d.servers.Expire()
 		}
-		d.avoid.Expire(func(s catalog.Incarnation) bool { return view.Servers[s] != nil })
+		isListed := func(s catalog.Incarnation) bool { return view.Servers[s] != nil }
+		d.avoid.Expire(isListed)
+		d.warmup.Expire(isListed)
 		if view.Table != nil {
 			for range d.frontend.CloseIdle(view.Table.Limits().IdleTimeout) {
 				d.metrics.Count("idle_connections_closed")
--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -29,11 +29,26 @@
 	return !a.mayHaveRun() || a.Reason == ReasonServerError
 }
 
+// newAttempt returns the attempt at the chosen server, which begins now.
+func newAttempt(s *catalog.Server, chosen *choice, sharedTokens int) Attempt {
+	return Attempt{
+		start:         time.Now(),
+		Server:        s.ID,
+		InFlight:      chosen.InFlight,
+		QueuedTokens:  chosen.QueuedTokens,
+		SharedTokens:  sharedTokens,
+		MissingTokens: chosen.MissingTokens,
+		Pace:          chosen.Pace,
+		Cause:         chosen.cause,
+		Cold:          chosen.cold,
+	}
+}
+
 // attempt sends the request to the chosen server. It returns whether another
 // server may be tried.
 func (q *request) attempt(ctx context.Context, w http.ResponseWriter, s *catalog.Server, chosen choice) bool {
 	q.tried[s.ID] = true
-	q.rec.Attempts = append(q.rec.Attempts, Attempt{start: time.Now(), Server: s.ID, InFlight: chosen.InFlight, QueuedTokens: chosen.QueuedTokens, SharedTokens: q.sharedTokens(), MissingTokens: chosen.MissingTokens, Pace: chosen.Pace, Cause: chosen.cause})
+	q.rec.Attempts = append(q.rec.Attempts, newAttempt(s, &chosen, q.sharedTokens()))
 	a := q.lastAttempt()
 	q.loadEntry = q.h.Loads.Begin(s.Tag(), q.tokensToCompute(chosen.MissingTokens))
 	q.h.CacheIndex.MarkPending(q.call.SharedParts(), cacheindex.Holder(s.Tag()))
@@ -162,7 +177,7 @@
 	a.Reason = ReasonServerRefused
 	if resp.Status == http.StatusMisdirectedRequest {
 		a.Reason = ReasonMisdirected
-		q.h.Health.RecordUnreachable(s.ID)
+		q.recordMisdirected(s)
 	} else {
 		q.h.Health.RecordRefusal(s.ID)
 	}
--- a/gateway/ingress/handler.go
+++ b/gateway/ingress/handler.go
@@ -31,6 +31,7 @@
 	"cassialatch.dev/gateway/route"
 	"cassialatch.dev/gateway/serverstate"
 	"cassialatch.dev/gateway/upstream"
+	"cassialatch.dev/gateway/warmup"
 )
 
 // Settings configures a Handler.
@@ -60,6 +61,7 @@
 	Loads      *load.Table
 	Health     *health.Table
 	Avoid      *avoid.Table
+	Warmup     *warmup.Table
 	Budget     *retry.Budget
 	Quarantine *quarantine.Table
 	CacheIndex *cacheindex.Index
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -49,6 +49,7 @@
 	ReasonStopped          Reason = "daemon_stopped" // the drain ended before the request did
 	ReasonNoServer         Reason = "no_server"
 	ReasonServersPaused    Reason = "servers_paused" // all servers left have asked for a pause
+	ReasonServersCold      Reason = "servers_cold"   // the servers left are cold, and may not be sent a request yet
 	ReasonRetryBudget      Reason = "retry_budget_spent"
 	ReasonDeadline         Reason = "deadline"
 	ReasonNotSent          Reason = "not_sent"
@@ -70,6 +71,7 @@
 	MissingTokens int     // shared tokens expected to be missing from the server's cache
 	Pace          float64 // how long work took at the server when it was chosen, relative to the usual time; 0 or 1: as usual
 	Cause         placement.Cause
+	Cold          bool   // the server was cold when it was chosen
 	FetchedFrom   string // ID of the server to fetch missing tokens from; empty if there was none
 	Status        int
 	Leaving       bool               // the server said that it is leaving
@@ -106,6 +108,7 @@
 	Duration      time.Duration
 	Writes        int                  // writes of stream events to the caller
 	Resumptions   int                  // attempts that resumed a stream on another server
+	ColdDeferred  int                  // choices that left out a cold server
 	Fingerprint   uint64               // of the request's content, if a connection broke while a server ran it; else 0
 	CrashParts    []cacheindex.PartKey // shared parts of the prompt, in order, if a connection broke while a server ran the request
 	Panic         *Panic               // nil unless the handler panicked
--- a/gateway/ingress/serverstate.go
+++ b/gateway/ingress/serverstate.go
@@ -35,6 +35,7 @@
 
 // recordUnreachable records that no connection to a server could be opened.
 func (q *request) recordUnreachable(s *catalog.Server, a *Attempt, err error) {
+	q.suspect(s)
 	if q.h.ServerState == nil || !errors.Is(err, syscall.ECONNREFUSED) {
 		q.h.Health.RecordUnreachable(s.ID)
 		return
