catalog, reader, platform: distribute the evacuated zones

Operators evacuate a zone by the key op/evacuate/ZONE. The zones are part of the state that daemons exchange and of its content hash; both are unchanged where there are none. The servers of such a zone are no longer among those that accept requests, so that the request path has no further work, and their caches are not listed. Complete reads include the prefix if the contract "places" is agreed, or an evacuated zone is known; changes are received in any case. Keys without the name of a zone are rejected like odd entries of servers.

The tests fail with the zones left out of the view, the hash, the state of the reader, the complete read or the check before a listing.

--- a/cassialatchgw/main.go
+++ b/cassialatchgw/main.go
@@ -44,9 +44,11 @@
 	if metricsPort != "" {
 		s.Metrics = net.JoinHostPort(s.IP, metricsPort)
 	}
+	source := platform.NewSource(s.StoreAddress, s.StoreValueBytes, boottime.Now)
+	source.Places = s.Places
 	d := daemon.New(s.Settings, daemon.Adapter{
 		Dialect:          platform.Dialect{},
-		Source:           platform.NewSource(s.StoreAddress, s.StoreValueBytes, boottime.Now),
+		Source:           source,
 		Lister:           platform.Lister{},
 		DirectoryHandler: platform.DirectoryHandler,
 		ReadinessHandler: platform.ReadinessHandler,
--- a/gateway/cachescan/cachescan.go
+++ b/gateway/cachescan/cachescan.go
@@ -153,7 +153,7 @@
 	var wg sync.WaitGroup
 	for _, server := range view.Servers {
 		service := view.Table.Service(server.Service)
-		if service == nil || service.CacheTokens == 0 || server.Draining || !s.isAssigned(server.ID) {
+		if service == nil || service.CacheTokens == 0 || server.Draining || view.Evacuated[server.Zone] || !s.isAssigned(server.ID) {
 			continue
 		}
 		wg.Go(func() { s.listServer(ctx, server) })
--- a/gateway/cachescan/cachescan_test.go
+++ b/gateway/cachescan/cachescan_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -121,3 +122,22 @@
 	<-s.Done()
 	is.Equal(len(l.calls), 0)
 }
+
+// Servers of an evacuated zone must not be asked for anything.
+func TestRun_DoesNotListServersOfEvacuatedZone(t *testing.T) {
+	is := is.New(t)
+	c := newCatalog()
+	state := c.State()
+	state.Revision++
+	state.Servers = slices.Clone(state.Servers)
+	for i := range state.Servers {
+		state.Servers[i].Zone = state.Servers[i].ID
+	}
+	state.Evacuated = []string{"m0", "m1"}
+	c.Adopt(state, nil, boottime.Now())
+	l := &lister{calls: make(map[string]int)}
+	s := New(l, c, cacheindex.New(time.Now), alive(nil), peers.Self{IP: "10.0.0.1", Seeds: []string{"10.0.0.1"}}, func() {}, discardLog{})
+	s.Run(t.Context())
+	is.Equal(len(l.calls), 4)
+	is.Equal(l.calls["m0"]+l.calls["m1"], 0)
+}
--- a/gateway/catalog/catalog.go
+++ b/gateway/catalog/catalog.go
@@ -65,6 +65,9 @@
 	RawRev   int64    // store revision of the configuration document
 	Raw      []byte   // configuration document as published
 	Servers  []Server // sorted by ID
+	// Evacuated lists the availability zones whose servers must get no requests, as
+	// UsableZones returns them.
+	Evacuated []string `json:",omitempty"`
 }
 
 // View is a State indexed for lookups. It is immutable.
@@ -75,6 +78,10 @@
 	ByService         map[string][]*Server // servers that accept new requests, by service
 	DrainingByService map[string][]*Server // draining servers, by service
 	Servers           map[Incarnation]*Server
+	// EvacuatedByService holds the servers in evacuated zones that are not draining, by
+	// service. They are not in ByService.
+	EvacuatedByService map[string][]*Server
+	Evacuated          map[string]bool // evacuated zones; nil if there are none
 }
 
 // Catalog holds the state in force and its last confirmation. It is safe for
@@ -217,14 +224,30 @@
 		DrainingByService: make(map[string][]*Server),
 		Servers:           make(map[Incarnation]*Server, len(s.Servers)),
 	}
+	v.setEvacuated(s.Evacuated)
 	for i := range s.Servers {
 		srv := &s.Servers[i]
 		v.Servers[srv.Incarnation()] = srv
-		if srv.Draining {
+		switch {
+		case srv.Draining:
 			v.DrainingByService[srv.Service] = append(v.DrainingByService[srv.Service], srv)
-			continue
+		case v.Evacuated[srv.Zone]:
+			v.EvacuatedByService[srv.Service] = append(v.EvacuatedByService[srv.Service], srv)
+		default:
+			v.ByService[srv.Service] = append(v.ByService[srv.Service], srv)
 		}
-		v.ByService[srv.Service] = append(v.ByService[srv.Service], srv)
 	}
 	return v
 }
+
+// setEvacuated sets the evacuated zones.
+func (v *View) setEvacuated(zones []string) {
+	if len(zones) == 0 {
+		return
+	}
+	v.Evacuated = make(map[string]bool, len(zones))
+	v.EvacuatedByService = make(map[string][]*Server)
+	for _, zone := range zones {
+		v.Evacuated[zone] = true
+	}
+}
--- a/gateway/catalog/hash.go
+++ b/gateway/catalog/hash.go
@@ -9,7 +9,7 @@
 )
 
 // contentHash returns the hash of everything that determines how requests are
-// served: the revision of the configuration document and the servers. Fields that were
+// served: the revision of the configuration document, the servers and the evacuated zones. Fields that were
 // added later are included only where they are set, so that daemons of the builds before
 // and after agree on the states of deployments that do not use them.
 func contentHash(s *State) uint64 {
@@ -19,6 +19,9 @@
 	for i := range s.Servers {
 		b = appendServer(append(b, '|'), &s.Servers[i])
 	}
+	for _, zone := range s.Evacuated {
+		b = strconv.AppendQuote(append(b, "|evacuated "...), zone)
+	}
 	return xxhash.Sum64(b)
 }
 
--- a/gateway/reader/adopt.go
+++ b/gateway/reader/adopt.go
@@ -14,6 +14,8 @@
 		RawRev:   u.ConfigRev,
 		Raw:      u.Config,
 		Servers:  r.withRetained(u.Servers),
+
+		Evacuated: u.Evacuated,
 	}
 	table := r.publishedTable(&state)
 	before := r.catalog.View()
@@ -52,10 +54,11 @@
 }
 
 // AdoptFromPeer writes a state received from a peer to the catalog. A state whose
-// configuration can't be decoded is discarded, and servers that can't be used are
-// left out. The state was complete at the given time.
+// configuration can't be decoded is discarded, and servers and zones that can't be used
+// are left out. The state was complete at the given time.
 func (r *Reader) AdoptFromPeer(origin string, s catalog.State, at boottime.Instant) {
 	s.Servers = r.usableServers(origin, &s)
+	s.Evacuated = catalog.UsableZones(s.Evacuated, func(err error) { r.log.ServerRejected(origin, err, s.Revision) })
 	table, err := r.table(&s)
 	if err != nil {
 		r.log.ConfigRejected(err, s.RawRev)
--- a/gateway/reader/reader.go
+++ b/gateway/reader/reader.go
@@ -23,10 +23,11 @@
 	Config    []byte           // configuration document; nil if none was published
 	ConfigRev int64            // store revision of the configuration document
 	Servers   []catalog.Server // sorted by ID
+	Evacuated []string         // availability zones, as catalog.UsableZones returns them
 	Rejected  []RejectedEntry  // since the last poll
 }
 
-// RejectedEntry is a published entry that names no server.
+// RejectedEntry is a published entry that names no server, or no zone to evacuate.
 type RejectedEntry struct {
 	Revision int64 // store revision of the entry
 	Err      error // names the key and the field
@@ -67,8 +68,9 @@
 	// ConfigRejected is called for a configuration document that can't be
 	// decoded.
 	ConfigRejected(err error, revision int64)
-	// ServerRejected is called for each revision of an entry that names no server,
-	// and for a server in the state of a peer that can't be used. The origin is as
+	// ServerRejected is called for each revision of an entry that names no server, or
+	// no zone to evacuate, and for a server or a zone in the state of a peer that can't
+	// be used. The origin is as
 	// for Adopted.
 	ServerRejected(origin string, err error, revision int64)
 	// Adopted is called when the contents of the state have changed. The origin
--- a/gateway/reader/reader_test.go
+++ b/gateway/reader/reader_test.go
@@ -326,3 +326,31 @@
 	f.poll(context.Background())
 	is.Equal(f.log.rejectedServers, []error{errDown})
 }
+
+// Guards against an evacuation that the daemon which reads the store keeps to itself, and
+// against odd names in the state of a peer.
+func TestAdopt_PassesOnEvacuatedZones(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.publish(1, "a")
+	f.store.update.Revision, f.store.update.Evacuated = 2, []string{"x", "z"}
+	f.poll(context.Background())
+	is.Equal(f.catalog.State().Evacuated, []string{"x", "z"})
+	hash := f.catalog.View().Hash
+
+	peer := newFixture()
+	state := f.catalog.State()
+	state.Evacuated = []string{"z", "", "x", "x"}
+	peer.AdoptFromPeer("10.0.0.9", state, peer.now)
+	is.Equal(peer.catalog.State().Evacuated, []string{"x", "z"})
+	is.Equal(peer.catalog.View().Hash, hash)
+	is.Equal(len(peer.log.rejectedServers), 1)
+
+	state.Revision, state.Evacuated = 1, nil // of a peer that is behind
+	peer.AdoptFromPeer("10.0.0.8", state, peer.now)
+	is.Equal(len(peer.catalog.View().Evacuated), 2)
+	f.store.err = errDown
+	f.now = f.now.Add(10 * time.Second)
+	f.poll(context.Background())
+	is.Equal(len(f.catalog.View().Evacuated), 2) // the last list stays in force
+}
