ingress, daemon: send nothing to evacuated zones

Requests that run in the zone go on; its servers remain sources of cached parts. After a broken connection there the server is not asked whether it accepts connections. When the evacuation ends, its servers count as cold, since the entries still say that they are warm. Events zone_evacuated and zone_taken_back, metric cassialatch_evacuated_zones.

--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -187,11 +187,6 @@
 	}
 }
 
-// beforeStateChange is the catalog's BeforeChange.
-func (d *Daemon) beforeStateChange(_, next *catalog.View, _ boottime.Instant) {
-	d.warmup.ObserveState(next)
-}
-
 // PeerFetchFailed implements peers.FetchLog. It logs and counts the failure.
 func (d *Daemon) PeerFetchFailed(ip string, took time.Duration, err error) {
 	d.log.PeerFetchFailed(ip, took, err)
@@ -247,6 +242,7 @@
 	d.metrics.Gauge("body_memory_bytes", func() float64 { return float64(d.handler.Bodies.Used()) })
 	d.metrics.Gauge("response_memory_bytes", func() float64 { return float64(d.handler.Responses.Used()) })
 	d.metrics.Gauge("cold_servers", func() float64 { return float64(d.warmup.Cold()) })
+	d.metrics.Gauge("evacuated_zones", func() float64 { return float64(len(d.catalog.View().Evacuated)) })
 	d.metrics.Gauge("cache_news_lost", func() float64 { return float64(d.cacheIndex.DroppedUpdates()) })
 	d.metrics.Gauge("log_lines_dropped", func() float64 { return float64(d.writer.Dropped()) })
 }
--- a/gateway/eventlog/log.go
+++ b/gateway/eventlog/log.go
@@ -142,6 +142,17 @@
 		Int64("confirmed_ms", age.Milliseconds()).Msg("")
 }
 
+// ZoneEvacuated logs that the servers of an availability zone get no requests from now on.
+// age is that of the confirmation of the state which says so.
+func (l *Log) ZoneEvacuated(zone string, age time.Duration) {
+	l.z.Warn().Str("event", "zone_evacuated").Str("zone", zone).Int64("confirmed_ms", age.Milliseconds()).Msg("")
+}
+
+// ZoneTakenBack logs that the evacuation of an availability zone has ended.
+func (l *Log) ZoneTakenBack(zone string, age time.Duration) {
+	l.z.Info().Str("event", "zone_taken_back").Str("zone", zone).Int64("confirmed_ms", age.Milliseconds()).Msg("")
+}
+
 // PeerFetchFailed logs that a peer's newer state could not be fetched.
 func (l *Log) PeerFetchFailed(ip string, took time.Duration, err error) {
 	l.z.Warn().Str("event", "peer_fetch_failed").Str("peer", ip).Int64("took_ms", took.Milliseconds()).Err(err).Msg("")
--- a/gateway/ingress/avoid.go
+++ b/gateway/ingress/avoid.go
@@ -36,7 +36,8 @@
 // request.
 func (q *request) whyNoServer() (Reason, time.Duration) {
 	var pause, cold time.Duration // the shortest; 0: none
-	for _, s := range q.h.Catalog.View().ByService[q.service.Name] {
+	view := q.h.Catalog.View()
+	for _, s := range view.ByService[q.service.Name] {
 		if q.h.Avoid.Leaving(s.Incarnation()) {
 			continue
 		}
@@ -51,6 +52,8 @@
 		return ReasonServersCold, cold
 	case pause > 0:
 		return ReasonServersPaused, max(pause, noServerRetryAfter)
+	case len(view.EvacuatedByService[q.service.Name]) > 0:
+		return ReasonZoneEvacuated, noServerRetryAfter
 	}
 	return ReasonNoServer, noServerRetryAfter
 }
--- a/gateway/ingress/choose.go
+++ b/gateway/ingress/choose.go
@@ -34,7 +34,7 @@
 func (q *request) place() (*catalog.Server, choice) {
 	view := q.h.Catalog.View()
 	servers := view.ByService[q.service.Name]
-	all := slices.Concat(servers, view.DrainingByService[q.service.Name])
+	all := slices.Concat(servers, view.DrainingByService[q.service.Name], view.EvacuatedByService[q.service.Name])
 	states := q.serverStates(all)
 	candidates := q.candidates(states[:len(servers)], q.sources(states))
 	i, cause := 0, placement.CauseLoad
@@ -102,8 +102,8 @@
 
 // sources returns the servers that the prompt's cached parts may be fetched
 // from: those that are not in backoff, have at least one of the parts, and have
-// computed all parts that the index lists for them. Draining servers can be
-// sources too.
+// computed all parts that the index lists for them. Draining servers and those in
+// evacuated zones can be sources too.
 func (q *request) sources(states []serverState) []placement.Source {
 	total := q.sharedTokens()
 	var sources []placement.Source
--- a/gateway/ingress/cold_test.go
+++ b/gateway/ingress/cold_test.go
@@ -32,7 +32,7 @@
 	now := func() time.Time { return start.Add(time.Duration(f.offset.Load())) }
 	f.handler.Warmup = warmup.New(now, func() int { return 62 }, func() float64 { return 0.5 })
 	f.pass(time.Minute)
-	f.catalog.BeforeChange = func(_, next *catalog.View, _ boottime.Instant) { f.handler.Warmup.ObserveState(next) }
+	f.catalog.BeforeChange = func(old, next *catalog.View, _ boottime.Instant) { f.handler.Warmup.ObserveState(old, next) }
 	config := fixtureConfig(2, 0)
 	config.Services[0].ColdPerSecond, config.Services[0].ColdStart = 18, 3*time.Second
 	state := f.catalog.State()
@@ -252,7 +252,7 @@
 	is := is.New(t)
 	b := startBackend(t, respondOK)
 	f := newFixture(t, b)
-	f.catalog.BeforeChange = func(_, next *catalog.View, _ boottime.Instant) { f.handler.Warmup.ObserveState(next) }
+	f.catalog.BeforeChange = func(old, next *catalog.View, _ boottime.Instant) { f.handler.Warmup.ObserveState(old, next) }
 	f.publishCold("b0")
 	for range 5 {
 		resp, _, err := f.do(t, "/safe/x")
--- a/gateway/ingress/crash.go
+++ b/gateway/ingress/crash.go
@@ -23,7 +23,10 @@
 	}
 	q.rec.Fingerprint = q.subject.Fingerprint
 	q.suspect(s)
-	a.Listening = q.h.Pool.Probe(ctx, s, q.maxConns())
+	a.Listening = upstream.ListeningUnknown
+	if !q.h.Catalog.View().Evacuated[s.Zone] { // servers there must not be asked for anything
+		a.Listening = q.h.Pool.Probe(ctx, s, q.maxConns())
+	}
 	if a.Listening == upstream.ListeningNo {
 		q.h.Health.RecordUnreachable(s.ID)
 	}
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -50,6 +50,7 @@
 	ReasonNoServer         Reason = "no_server"
 	ReasonServersPaused    Reason = "servers_paused" // all servers left have asked for a pause
 	ReasonServersCold      Reason = "servers_cold"   // the servers left are cold, and may not be sent a request yet
+	ReasonZoneEvacuated    Reason = "zone_evacuated" // the servers left are in zones that are being evacuated
 	ReasonRetryBudget      Reason = "retry_budget_spent"
 	ReasonDeadline         Reason = "deadline"
 	ReasonNotSent          Reason = "not_sent"
--- a/gateway/warmup/state.go
+++ b/gateway/warmup/state.go
@@ -7,8 +7,9 @@
 )
 
 // ObserveState records what a new state publishes about the servers of services that have
-// a limit. It must be called before requests use the view.
-func (t *Table) ObserveState(next *catalog.View) {
+// a limit. Servers in a zone whose evacuation has ended may have become cold. It must be
+// called before requests use the next view.
+func (t *Table) ObserveState(old, next *catalog.View) {
 	if next.Table == nil {
 		return
 	}
@@ -18,5 +19,8 @@
 			continue
 		}
 		t.Observe(id, LimitOf(service), time.Duration(s.ColdRemaining)*time.Millisecond)
+		if old.Evacuated[s.Zone] && !next.Evacuated[s.Zone] {
+			t.Suspect(id, LimitOf(service))
+		}
 	}
 }
--- a/gateway/warmup/warmup_test.go
+++ b/gateway/warmup/warmup_test.go
@@ -226,13 +226,34 @@
 func TestObserveState(t *testing.T) {
 	is := is.New(t)
 	f := newFixture()
-	f.ObserveState(&catalog.View{}) // before the first configuration
+	none := &catalog.View{}
+	f.ObserveState(none, none) // before the first configuration
 	table := route.NewTable(&route.Config{Services: []route.Service{{Name: "s", ColdPerSecond: 18, ColdStart: 3 * time.Second}, {Name: "t"}}})
 	servers := make(map[catalog.Incarnation]*catalog.Server)
 	for id, service := range map[string]string{"a": "s", "b": "t", "c": "unknown"} {
 		servers[catalog.Incarnation{ID: id}] = &catalog.Server{ID: id, Service: service, ColdRemaining: 4096}
 	}
-	f.ObserveState(&catalog.View{Table: table, Servers: servers})
+	f.ObserveState(none, &catalog.View{Table: table, Servers: servers})
+	is.True(f.cold(catalog.Incarnation{ID: "a"}))
+	is.Equal(len(f.servers), 1)
+}
+
+// Load pattern: the evacuation of a zone ends, and its servers, which publish that they
+// are warm, become cold with the first requests.
+func TestObserveState_ServersOfZoneTakenBackAreSuspect(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	table := route.NewTable(&route.Config{Services: []route.Service{{Name: "s", ColdPerSecond: 18, ColdStart: 3 * time.Second}}})
+	servers := map[catalog.Incarnation]*catalog.Server{
+		{ID: "a"}: {ID: "a", Service: "s", Zone: "z"},
+		{ID: "b"}: {ID: "b", Service: "s", Zone: "y"},
+		{ID: "c"}: {ID: "c", Service: "s", Zone: "x"},
+	}
+	both := &catalog.View{Table: table, Servers: servers, Evacuated: map[string]bool{"z": true, "y": true}}
+	one := &catalog.View{Table: table, Servers: servers, Evacuated: map[string]bool{"y": true}}
+	f.ObserveState(&catalog.View{Table: table, Servers: servers}, both)
+	is.Equal(len(f.servers), 0)
+	f.ObserveState(both, one)
 	is.True(f.cold(catalog.Incarnation{ID: "a"}))
 	is.Equal(len(f.servers), 1)
 }
