--- a/gateway/eventlog/eventlog_test.go
+++ b/gateway/eventlog/eventlog_test.go
@@ -143,3 +143,21 @@
 	is.Equal(event.Stack, "goroutine 7 [running]:\nmain.f()\n")
 	is.Equal(event.Level, "error")
 }
+
+// Guards against an attempt at a cold server, or an evacuation, that the log does not show.
+func TestLog_ColdServersAndEvacuatedZones(t *testing.T) {
+	is := is.New(t)
+	out := &stallableWriter{}
+	w := NewWriter(out)
+	log := New(w, "edge-1")
+	log.Request(&ingress.Record{ID: "r1", Attempts: []ingress.Attempt{{Server: "i-1", Cold: true}, {Server: "i-2"}}})
+	log.ZoneEvacuated("z", 400*time.Millisecond)
+	log.ZoneTakenBack("z", 300*time.Millisecond)
+	w.Close(10 * time.Second)
+	lines := out.lines()
+	is.Equal(len(lines), 3)
+	is.Equal(strings.Count(lines[0], `"cold":true`), 1)
+	for i, want := range []string{`"event":"zone_evacuated","zone":"z","confirmed_ms":400`, `"event":"zone_taken_back","zone":"z","confirmed_ms":300`} {
+		is.True(strings.Contains(lines[i+1], want))
+	}
+}
