--- a/gateway/ingress/choose.go
+++ b/gateway/ingress/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"cassialatch.dev/gateway/cacheindex"
 	"cassialatch.dev/gateway/catalog"
@@ -68,7 +67,7 @@
 	penalty   float64             // in requests in flight
 	inBackoff bool
 	cold      bool
-	coldWait  time.Duration // for which it may be sent nothing, since it is cold
+	outOfTurn bool // it is cold and may be sent nothing now
 }
 
 // serverStates returns the state of each server, in the order of servers.
@@ -94,7 +93,8 @@
 	}
 	if warmup.LimitOf(q.service).Applies() {
 		for i := range states {
-			states[i].coldWait, states[i].cold = q.h.Warmup.Wait(servers[i].Incarnation())
+			wait, cold := q.h.Warmup.Wait(servers[i].Incarnation())
+			states[i].cold, states[i].outOfTurn = cold, wait > 0
 		}
 	}
 	return states
@@ -128,7 +128,7 @@
 		if q.tried[s.ID] || q.avoided(s.Server) {
 			continue
 		}
-		if s.coldWait > 0 {
+		if s.outOfTurn {
 			deferred = true
 			continue
 		}
