--- a/gateway/ingress/choose.go
+++ b/gateway/ingress/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -36,7 +35,7 @@
 func (q *request) place() (*catalog.Server, choice) {
 	view := q.h.Catalog.View()
 	servers := view.ByService[q.service.Name]
-	all := slices.Concat(servers, view.DrainingByService[q.service.Name])
+	all := slices.Concat(servers, view.DrainingByService[q.service.Name], view.EvacuatedByService[q.service.Name])
 	states := q.serverStates(all)
 	candidates := q.candidates(states[:len(servers)], q.sources(states))
 	i, cause := 0, placement.CauseLoad
@@ -74,7 +73,7 @@
 	pace      float64             // how long work takes, relative to the usual time; 0: as usual
 	inBackoff bool
 	cold      bool
-	coldWait  time.Duration // for which it may be sent nothing, since it is cold
+	outOfTurn bool // it is cold and may be sent nothing now
 }
 
 // serverStates returns the state of each server, in the order of servers.
@@ -105,7 +104,8 @@
 	}
 	if warmup.LimitOf(q.service).Applies() {
 		for i := range states {
-			states[i].coldWait, states[i].cold = q.h.Warmup.Wait(servers[i].Incarnation())
+			wait, cold := q.h.Warmup.Wait(servers[i].Incarnation())
+			states[i].cold, states[i].outOfTurn = cold, wait > 0
 		}
 	}
 	return states
@@ -113,8 +113,8 @@
 
 // sources returns the servers that the prompt's cached parts may be fetched
 // from: those that are not in backoff, have at least one of the parts, and have
-// computed all parts that the index lists for them. Draining servers can be
-// sources too.
+// computed all parts that the index lists for them. Draining servers and those in
+// evacuated zones can be sources too.
 func (q *request) sources(states []serverState) []placement.Source {
 	total := q.sharedTokens()
 	var sources []placement.Source
@@ -139,7 +139,7 @@
 		if q.tried[s.ID] || q.avoided(s.Server) {
 			continue
 		}
-		if s.coldWait > 0 {
+		if s.outOfTurn {
 			deferred = true
 			continue
 		}
--- a/gateway/ingress/memory_test.go
+++ b/gateway/ingress/memory_test.go
@@ -62,7 +62,7 @@
 			for n := range callers {
 				go func() { statuses <- f.status(ctx, c.path, fmt.Sprint("r", n)) }()
 			}
-			for int(b.runs.Load()) < callers {
+			for int(b.runs.Load())+len(statuses) < callers { // one that ended before has failed
 				time.Sleep(time.Millisecond)
 			}
 			var peak int64
