daemon: a server that peers report as refusing connections counts as cold

A server that refused connections and came back under the same ID was sent as many requests as a warm one by each daemon that had not seen the refusal itself, until its entry said that it is cold. Since daemons share refused connections, most of them see none: the report keeps them from trying the server, and ends at all of them with the first response.

A peer's report of a refused connection, or of the end of one, now makes the server a suspect of gateway/warmup, once for each date. While daemons do not see the same of a server, reports on it say nothing.

TestDaemon_ServerReportedAsRefusingCountsAsCold failed before: the server was not cold.

--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -166,6 +166,7 @@
 	if s.ServerState {
 		d.servers = serverstate.New(time.Now)
 		d.servers.OnUrgent = triggerExchange
+		d.servers.OnRestart = func(tags []uint32) { d.warmup.SuspectTags(c.View(), tags) }
 		d.handler.ServerState = d.servers
 	}
 	d.frontend = ingress.NewServer(d.handler)
--- a/gateway/daemon/daemon_test.go
+++ b/gateway/daemon/daemon_test.go
@@ -17,6 +17,7 @@
 	"cassialatch.dev/gateway/directory"
 	"cassialatch.dev/gateway/peers"
 	"cassialatch.dev/gateway/route"
+	"cassialatch.dev/gateway/serverstate"
 )
 
 // dialect is a call.Dialect without deadlines, prompts and internal headers.
@@ -108,3 +109,27 @@
 	for size() <= quiet { // rounds that had begun before
 	}
 }
+
+// Load pattern: a server stops and comes back, and its peers' reports keep this daemon from
+// trying it meanwhile. Guards against a daemon that has seen nothing of the restart itself,
+// and sends a server that is cold as many requests as a warm one until its entry changes.
+func TestDaemon_ServerReportedAsRefusingCountsAsCold(t *testing.T) {
+	for _, kind := range []serverstate.Kind{serverstate.KindRefused, serverstate.KindResponded} {
+		is := is.New(t)
+		d := New(Settings{Name: "d", ServerState: true, Retry: RetryBudget{Window: time.Second}}, Adapter{Dialect: dialect{}})
+		services := []route.Service{{Name: "s", ColdPerSecond: 18, ColdStart: 3 * time.Second}, {Name: "t"}}
+		servers := []catalog.Server{{ID: "b1", Service: "s"}, {ID: "b2", Service: "s"}, {ID: "b3", Service: "t"}}
+		table := route.NewTable(&route.Config{Version: 1, Services: services})
+		d.servers.Merge([]serverstate.Report{{Server: 1, Kind: kind, Value: 1}}) // before the first configuration
+		d.catalog.Adopt(catalog.State{Revision: 1, Servers: servers}, table, boottime.Now())
+		d.servers.Merge([]serverstate.Report{
+			{Server: servers[0].Tag(), Kind: kind, Value: 1},
+			{Server: servers[2].Tag(), Kind: kind, Value: 1},
+			{Server: servers[1].Tag(), Kind: serverstate.KindPace, Value: 300},
+		})
+		for i, want := range []bool{true, false, false} {
+			_, cold := d.warmup.Wait(servers[i].Incarnation())
+			is.Equal(cold, want)
+		}
+	}
+}
--- a/gateway/serverstate/refusal.go
+++ b/gateway/serverstate/refusal.go
@@ -34,6 +34,7 @@
 	sequence int
 
 	reportedUntil time.Time // until when reports of peers may keep the server in backoff
+	reportedAt    time.Time // date of the latest report that isNews
 
 	respondedAt   time.Time // when the latest request that has got a response was sent
 	recoveredAt   time.Time // respondedAt of a response that ended a refusal; zero: none
@@ -59,6 +60,16 @@
 	return !r.disputed(now)
 }
 
+// isNews reports whether a peer's report of the given date, on a refusal or on the end of
+// one, says that the server may have restarted since the reports before. Copies say no more.
+func (r *refusal) isNews(at, now time.Time) bool {
+	if r.disputed(now) || at.Sub(r.reportedAt) <= copyTolerance {
+		return false
+	}
+	r.reportedAt = at
+	return true
+}
+
 // merge records a refusal that a peer has reported.
 func (r *refusal) merge(at time.Time, sequence int, now time.Time) {
 	r.forgetOld(now)
--- a/gateway/serverstate/refusal_test.go
+++ b/gateway/serverstate/refusal_test.go
@@ -181,3 +181,37 @@
 	table.RecordRefused(30)
 	is.Equal(rounds, 2)
 }
+
+// Guards against a server that counts as cold for as long as copies of a report circulate,
+// and against one that does so because a peer alone can't reach it.
+func TestMerge_SaysOnceThatServerMayHaveRestarted(t *testing.T) {
+	is := is.New(t)
+	ck := newClock()
+	a, b := New(ck.read), New(ck.read)
+	var restarted []uint32
+	b.OnRestart = func(tags []uint32) {
+		b.state(1) // guards against a call with the lock held
+		restarted = append(restarted, tags...)
+	}
+	a.RecordRefused(1)
+	for range 20 {
+		b.Merge(a.News())
+		ck.advance(100 * time.Millisecond)
+	}
+	is.Equal(restarted, []uint32{1})
+
+	a.RecordRefused(1) // still down, while reports no longer keep b from it
+	b.Merge(a.News())
+	is.True(!b.state(1).Refused)
+	is.Equal(len(restarted), 2)
+
+	ck.advance(500 * time.Millisecond)
+	b.RecordResponse(1, ck.now)
+	ck.advance(time.Second)
+	b.RecordRefused(1)
+	ck.advance(500 * time.Millisecond)
+	b.RecordResponse(1, ck.now) // disputed
+	a.RecordRefused(1)
+	b.Merge(a.News())
+	is.Equal(len(restarted), 2)
+}
--- a/gateway/serverstate/report.go
+++ b/gateway/serverstate/report.go
@@ -84,6 +84,14 @@
 // Merge adds what another daemon has sent. Merging the same reports again changes
 // nothing.
 func (t *Table) Merge(reports []Report) {
+	if restarted := t.merge(reports); len(restarted) > 0 && t.OnRestart != nil {
+		t.OnRestart(restarted)
+	}
+}
+
+// merge implements Merge. It returns the tags of the servers that may have restarted by
+// what the reports say.
+func (t *Table) merge(reports []Report) (restarted []uint32) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
@@ -92,14 +100,19 @@
 		if _, known := t.servers[r.Server]; !r.Valid() || !known && len(t.servers) >= maxServers {
 			continue
 		}
-		t.find(r.Server, now).merge(r, now)
+		if t.find(r.Server, now).merge(r, now) {
+			restarted = append(restarted, r.Server)
+		}
 		t.extendNews(now)
 	}
+	return restarted
 }
 
-// merge adds an observation of another daemon on the server.
-func (s *server) merge(r *Report, now time.Time) {
+// merge adds an observation of another daemon on the server. It returns whether the
+// server may have restarted since the reports before.
+func (s *server) merge(r *Report, now time.Time) (restarted bool) {
 	at := now.Add(-time.Duration(r.AgeMS) * time.Millisecond)
+	restarted = r.Kind != KindPace && s.refusal.isNews(at, now)
 	switch r.Kind {
 	case KindPace:
 		if at.Sub(s.pace.at) > copyTolerance {
@@ -112,4 +125,5 @@
 			s.refusal.responded(at, now)
 		}
 	}
+	return restarted
 }
--- a/gateway/serverstate/serverstate.go
+++ b/gateway/serverstate/serverstate.go
@@ -50,6 +50,10 @@
 	// OnUrgent, if not nil, is called when the peers should receive a report at once.
 	// It must not block, and must be set before use.
 	OnUrgent func()
+	// OnRestart, if not nil, is called with the tags of servers of which peers report that
+	// they refuse connections, or no longer do, so that they may have restarted. It
+	// must be set before use.
+	OnRestart func(tags []uint32)
 
 	mu       sync.Mutex
 	servers  map[uint32]*server
--- a/gateway/warmup/state.go
+++ b/gateway/warmup/state.go
@@ -1,6 +1,7 @@
 package warmup
 
 import (
+	"slices"
 	"time"
 
 	"cassialatch.dev/gateway/catalog"
@@ -20,3 +21,15 @@
 		t.Observe(id, LimitOf(service), time.Duration(s.ColdRemaining)*time.Millisecond)
 	}
 }
+
+// SuspectTags is Suspect for the servers with the tags.
+func (t *Table) SuspectTags(view *catalog.View, tags []uint32) {
+	if view.Table == nil {
+		return
+	}
+	for id, s := range view.Servers {
+		if service := view.Table.Service(s.Service); service != nil && slices.Contains(tags, s.Tag()) {
+			t.Suspect(id, LimitOf(service))
+		}
+	}
+}
