upstream: connections to an earlier incarnation are no sign of a restart

A request was refused with servers_cold although the only server left was warm: the server had restarted under the same ID, was cold, and had become warm again by its entry. A daemon that looked at its idle connections only then found that the server had closed some, took that for another restart, and treated the server as cold for coldStartS.

A connection now knows the incarnation that it was opened to, and says nothing about others.

TestHandler_ConnectionsToEarlierIncarnationAreNoSignOfRestart failed before with 503.

--- a/gateway/ingress/cold.go
+++ b/gateway/ingress/cold.go
@@ -15,7 +15,7 @@
 	if !limit.Applies() {
 		return true
 	}
-	if q.h.Pool.CheckIdle(s.ID) {
+	if q.h.Pool.CheckIdle(s.Incarnation()) {
 		q.h.Warmup.Suspect(s.Incarnation(), limit)
 	}
 	ok, cold := q.h.Warmup.Take(s.Incarnation())
--- a/gateway/ingress/cold_test.go
+++ b/gateway/ingress/cold_test.go
@@ -191,6 +191,27 @@
 	is.Equal(f.status(t), http.StatusOK)
 }
 
+// A server has restarted, and its entry says that the new incarnation is warm again.
+// Guards against a refusal because it has closed connections to the incarnation before.
+func TestHandler_ConnectionsToEarlierIncarnationAreNoSignOfRestart(t *testing.T) {
+	is := is.New(t)
+	conns := make(chan net.Conn, 2)
+	restarted := startBackend(t, func(b *backend, req *http.Request, c net.Conn) {
+		respondOK(b, req, c)
+		conns <- c
+	})
+	f := newColdFixture(t, restarted)
+	is.Equal(f.status(t), http.StatusOK)
+	(<-conns).Close()
+	time.Sleep(20 * time.Millisecond) // the close arrives
+	state := f.catalog.State()
+	state.Revision++
+	state.Servers = []catalog.Server{state.Servers[0]}
+	state.Servers[0].Born++
+	f.catalog.Adopt(state, nil, f.now())
+	is.Equal(f.status(t), http.StatusOK)
+}
+
 // Guards against requests to a server that has refused or broken a connection, and may
 // have restarted since.
 func TestHandler_UnreachableServerCountsAsCold(t *testing.T) {
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"cassialatch.dev/gateway/catalog"
 	"cassialatch.dev/gateway/memory"
 )
 
@@ -54,6 +55,8 @@
 	lost      bool          // the server's side has ended the connection
 	used      bool          // a request was sent on it
 	idleUntil time.Time     // not reused from then on
+
+	incarnation catalog.Incarnation // of the server, as listed when the connection was opened
 }
 
 // dial opens a connection with TCP keep-alive and TCP_USER_TIMEOUT set.
--- a/gateway/upstream/idle_test.go
+++ b/gateway/upstream/idle_test.go
@@ -27,11 +27,11 @@
 		}
 	})
 	p := NewPool(dialect{})
-	is.True(!p.CheckIdle(s.ID)) // no connection
+	is.True(!p.CheckIdle(s.Incarnation())) // no connection
 	for _, id := range []string{"1", "2"} {
 		_, err := exchange(p, s, request(id, ""))
 		is.NoErr(err)
-		is.True(!p.CheckIdle(s.ID))
+		is.True(!p.CheckIdle(s.Incarnation()))
 		if id == "1" {
 			<-served
 		}
@@ -41,8 +41,8 @@
 	c := <-served
 	c.Close()
 	time.Sleep(20 * time.Millisecond) // the close arrives
-	is.True(p.CheckIdle(s.ID))
-	is.True(!p.CheckIdle(s.ID)) // said once
+	is.True(p.CheckIdle(s.Incarnation()))
+	is.True(!p.CheckIdle(s.Incarnation())) // said once
 	is.Equal(p.OpenConns(), 0)
 }
 
@@ -54,6 +54,6 @@
 	_, err := exchange(p, s, request("1", ""))
 	is.NoErr(err)
 	p.servers[s.ID].idle[0].idleUntil = time.Now()
-	is.True(!p.CheckIdle(s.ID))
+	is.True(!p.CheckIdle(s.Incarnation()))
 	is.Equal(p.OpenConns(), 0)
 }
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -58,7 +58,7 @@
 // get returns an idle connection or opens one. maxConns limits this daemon's
 // connections to the server; 0 means no limit.
 func (p *Pool) get(ctx context.Context, s *catalog.Server, maxConns int) (*conn, error) {
-	if c, _ := p.takeIdle(s.ID); c != nil {
+	if c, _ := p.takeIdle(s.Incarnation()); c != nil {
 		return c, nil
 	}
 	return p.open(ctx, s, maxConns)
@@ -77,6 +77,7 @@
 		p.releaseSlot(s.ID)
 		return nil, err
 	}
+	c.incarnation = s.Incarnation()
 	return c, nil
 }
 
@@ -113,22 +114,23 @@
 
 // CheckIdle reports whether the server has closed idle connections before their idle
 // timeout, as one that restarts does. It looks at them only until it finds one that can
-// be used for the next request.
-func (p *Pool) CheckIdle(id string) (closedEarly bool) {
-	c, closedEarly := p.takeIdle(id)
+// be used for the next request. Connections that were opened to an earlier incarnation say
+// nothing about this one.
+func (p *Pool) CheckIdle(s catalog.Incarnation) (closedEarly bool) {
+	c, closedEarly := p.takeIdle(s)
 	if c != nil {
-		p.pushIdle(id, c)
+		p.pushIdle(s.ID, c)
 	}
 	return closedEarly
 }
 
 // takeIdle removes the most recently used idle connection that is still usable
 // from the pool and closes those that are not. It returns nil if there is none.
-// closedEarly reports whether the server has closed one of them before its idle
-// timeout.
-func (p *Pool) takeIdle(id string) (c *conn, closedEarly bool) {
+// closedEarly reports whether the server has closed one that was opened to this
+// incarnation before its idle timeout.
+func (p *Pool) takeIdle(s catalog.Incarnation) (c *conn, closedEarly bool) {
 	for {
-		c := p.popIdle(id)
+		c := p.popIdle(s.ID)
 		if c == nil {
 			return nil, closedEarly
 		}
@@ -137,10 +139,10 @@
 			if usable {
 				return c, closedEarly
 			}
-			closedEarly = closedEarly || closed
+			closedEarly = closedEarly || closed && c.incarnation == s
 		}
 		c.tcp.Close()
-		p.releaseSlot(id)
+		p.releaseSlot(s.ID)
 	}
 }
 
