upstream: idle timeouts pass during a suspend

The monotonic clock stands still while the VM of a daemon is suspended. Afterwards the pool took connections for fresh whose idle timeout had passed at the servers. Where they limit requests to cold servers, each server that had closed one was treated as cold for coldStartS, so that requests were refused with servers_cold although the servers were warm.

Idle timeouts are now measured by gateway/boottime, as leases are.

TestCheckIdle_IdleTimeoutPassesDuringSuspend sets the clock, which it could not do before; it fails if takeIdle reads a clock that stands still.

--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"cassialatch.dev/gateway/boottime"
 	"cassialatch.dev/gateway/catalog"
 	"cassialatch.dev/gateway/memory"
 )
@@ -48,13 +49,13 @@
 // conn is one connection to a backend server.
 type conn struct {
 	tcp       *net.TCPConn
-	br        *bufio.Reader // reads from Read, which applies readLimit
-	readLimit int64         // bytes that may still be read from tcp
-	head      []byte        // of the latest response, before it is parsed
-	unparsed  []byte        // bytes that were read for the head, and come first in Read
-	lost      bool          // the server's side has ended the connection
-	used      bool          // a request was sent on it
-	idleUntil time.Time     // not reused from then on
+	br        *bufio.Reader    // reads from Read, which applies readLimit
+	readLimit int64            // bytes that may still be read from tcp
+	head      []byte           // of the latest response, before it is parsed
+	unparsed  []byte           // bytes that were read for the head, and come first in Read
+	lost      bool             // the server's side has ended the connection
+	used      bool             // a request was sent on it
+	idleUntil boottime.Instant // not reused from then on
 
 	incarnation catalog.Incarnation // of the server, as listed when the connection was opened
 }
--- a/gateway/upstream/idle_test.go
+++ b/gateway/upstream/idle_test.go
@@ -5,10 +5,13 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"cassialatch.dev/gateway/boottime"
 )
 
 // Guards against a restart of a server that goes unnoticed, and against a sound
@@ -53,7 +56,30 @@
 	p := NewPool(dialect{})
 	_, err := exchange(p, s, request("1", ""))
 	is.NoErr(err)
-	p.servers[s.ID].idle[0].idleUntil = time.Now()
+	p.servers[s.ID].idle[0].idleUntil = p.clock()
 	is.True(!p.CheckIdle(s.Incarnation()))
 	is.Equal(p.OpenConns(), 0)
 }
+
+// The VM of the daemon is suspended, and the idle timeouts pass meanwhile. Guards against
+// closes at an idle timeout that are taken for restarts of all servers, and against a
+// connection that is used although the server has given it up.
+func TestCheckIdle_IdleTimeoutPassesDuringSuspend(t *testing.T) {
+	is := is.New(t)
+	s, _ := listen(t, echo)
+	p := NewPool(dialect{})
+	var suspended atomic.Int64 // in nanoseconds
+	p.clock = func() boottime.Instant { return boottime.Now().Add(time.Duration(suspended.Load())) }
+	_, err := exchange(p, s, request("1", ""))
+	is.NoErr(err)
+	p.servers[s.ID].idle[0].tcp.CloseRead() // as if the server had closed it
+	suspended.Store(int64(time.Minute))
+	is.True(!p.CheckIdle(s.Incarnation()))
+	is.Equal(p.OpenConns(), 0)
+
+	_, err = exchange(p, s, request("2", ""))
+	is.NoErr(err)
+	suspended.Add(int64(time.Minute))
+	p.Expire(func(string) bool { return true })
+	is.Equal(p.OpenConns(), 0)
+}
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"cassialatch.dev/gateway/boottime"
 	"cassialatch.dev/gateway/call"
 	"cassialatch.dev/gateway/catalog"
 )
@@ -36,6 +37,7 @@
 // is safe for concurrent use.
 type Pool struct {
 	dialect call.Dialect
+	clock   boottime.Clock // of idle timeouts, which pass at the servers during a suspend too
 	// OnDial, if not nil, is called after each attempt to open a connection, with
 	// its error. It must be set before the first Send.
 	OnDial func(err error)
@@ -52,7 +54,7 @@
 
 // NewPool returns an empty pool that reads responses with the dialect d.
 func NewPool(d call.Dialect) *Pool {
-	return &Pool{dialect: d, servers: make(map[string]*serverConns)}
+	return &Pool{dialect: d, clock: boottime.Now, servers: make(map[string]*serverConns)}
 }
 
 // get returns an idle connection or opens one. maxConns limits this daemon's
@@ -134,7 +136,7 @@
 		if c == nil {
 			return nil, closedEarly
 		}
-		if time.Now().Before(c.idleUntil) {
+		if p.clock() < c.idleUntil {
 			usable, closed := c.check()
 			if usable {
 				return c, closedEarly
@@ -208,15 +210,14 @@
 		p.releaseSlot(id)
 		return
 	}
-	c.idleUntil = time.Now().Add(idle)
+	c.idleUntil = p.clock().Add(idle)
 	p.pushIdle(id, c)
 }
 
 // Expire closes idle connections that have reached their idle timeout and those
 // to servers for which listed returns false.
 func (p *Pool) Expire(listed func(id string) bool) {
-	now := time.Now()
-	for id, conns := range p.removeExpired(now, listed) {
+	for id, conns := range p.removeExpired(p.clock(), listed) {
 		for _, c := range conns {
 			c.tcp.Close()
 			p.releaseSlot(id)
@@ -226,14 +227,14 @@
 
 // removeExpired removes the connections that Expire closes from the pool and
 // returns them by server ID.
-func (p *Pool) removeExpired(now time.Time, listed func(id string) bool) map[string][]*conn {
+func (p *Pool) removeExpired(now boottime.Instant, listed func(id string) bool) map[string][]*conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	expired := make(map[string][]*conn)
 	for id, sc := range p.servers {
 		remaining := sc.idle[:0]
 		for _, c := range sc.idle {
-			if now.Before(c.idleUntil) && listed(id) {
+			if now < c.idleUntil && listed(id) {
 				remaining = append(remaining, c)
 			} else {
 				expired[id] = append(expired[id], c)
