ingress: Retry-After no later than a cold server is warm

A request that only cold servers were left for was refused with Retry-After until the next turn of one of them. For one of 62 daemons turns are 4.6 s apart, for one of 295 daemons 22 s, but the servers are warm after 3 s. Callers that can't wait that long did not come back.

Retry-After is now the time until the next turn or until the server is warm.

TestHandler_RetryAfterIsNotLaterThanServerIsWarm failed before.

--- a/gateway/ingress/cold.go
+++ b/gateway/ingress/cold.go
@@ -39,13 +39,13 @@
 // left for. The header has milliseconds.
 const minColdRetryAfter = time.Millisecond
 
-// untilTurn returns the time until a server that is cold may be sent a request, rounded up
-// to milliseconds. It returns 0 if the server is not cold.
+// untilTurn returns the time until a server that is cold now may be sent a request, rounded
+// up to milliseconds. It returns 0 if the server is not cold.
 func (q *request) untilTurn(s *catalog.Server) time.Duration {
 	if !warmup.LimitOf(q.service).Applies() {
 		return 0
 	}
-	wait, cold := q.h.Warmup.Wait(s.Incarnation())
+	wait, cold := q.h.Warmup.RetryAfter(s.Incarnation())
 	if !cold {
 		return 0
 	}
--- a/gateway/ingress/cold_test.go
+++ b/gateway/ingress/cold_test.go
@@ -108,7 +108,7 @@
 	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
 	seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 	is.NoErr(err)
-	is.True(seconds > 2.29 && seconds < 2.31) // the first turn of b1
+	is.True(seconds > 1.79 && seconds < 1.81) // b0 is warm; the first turn of b1 is after 2.3 s
 	is.Equal(f.records.wait(21)[20].Reason, ReasonServersCold)
 	is.Equal(f.records.wait(21)[20].Outcome, OutcomeNotRun)
 
@@ -120,6 +120,25 @@
 	is.True(cold.runs.Load() > runs+1) // warm
 }
 
+// Guards against callers that are told to come back when the turn of a cold server comes
+// although it is warm earlier: a turn comes after 4.6 s here, and after 22 s for one of 295
+// daemons.
+func TestHandler_RetryAfterIsNotLaterThanServerIsWarm(t *testing.T) {
+	is := is.New(t)
+	f := newColdFixture(t, startBackend(t, respondOK))
+	f.handler.Warmup.Suspect(catalog.Incarnation{ID: "b0"}, warmup.Limit{PerSecond: 18, Duration: 3 * time.Second})
+	f.awaitTurn(t, "b0")
+	is.Equal(f.status(t), http.StatusOK)
+	resp, _, err := f.do(t, "/safe/x") // warm in 0.7 s, next turn in 4.6 s
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	is.NoErr(err)
+	is.True(seconds > 0.7 && seconds < 0.71)
+	f.pass(time.Duration(seconds * float64(time.Second)))
+	is.Equal(f.status(t), http.StatusOK)
+}
+
 // Guards against concurrent requests that share a turn.
 func TestHandler_ConcurrentRequestsDoNotShareTurnOfColdServer(t *testing.T) {
 	is := is.New(t)
--- a/gateway/warmup/warmup.go
+++ b/gateway/warmup/warmup.go
@@ -193,21 +193,35 @@
 
 func (t *Table) knowsFleet(now time.Time) bool { return now.Sub(t.started) >= startupTime }
 
-// Wait returns how long from now a server may be sent no request, and whether it is cold.
-// A server that is not cold need not be waited for.
+// Wait returns how long from now a server may be sent no request while it is cold, and
+// whether it is cold. A server that is not cold need not be waited for.
 func (t *Table) Wait(id catalog.Incarnation) (wait time.Duration, cold bool) {
+	wait, coldFor := t.wait(id)
+	return wait, coldFor > 0
+}
+
+// RetryAfter returns how long from now a server may be sent no request: until the next slot
+// or until it is warm, whichever is earlier.
+func (t *Table) RetryAfter(id catalog.Incarnation) (wait time.Duration, cold bool) {
+	wait, coldFor := t.wait(id)
+	return min(wait, coldFor), coldFor > 0
+}
+
+// wait returns how long from now a slot of a server begins, and how long the server is
+// cold; both are 0 if it is not.
+func (t *Table) wait(id catalog.Incarnation) (slot, coldFor time.Duration) {
 	if t.count.Load() == 0 {
-		return 0, false
+		return 0, 0
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.servers[id]
 	now := t.now()
 	if !ok || !s.isCold(now) {
-		return 0, false
+		return 0, 0
 	}
 	t.skipMissed(s, now)
-	return max(s.slot.Sub(now), 0), true
+	return max(s.slot.Sub(now), 0), max(s.coldUntil.Sub(now), s.suspectUntil.Sub(now))
 }
 
 // Take records that a request is about to be sent to a server. It returns false if none
