tests/soak: cold servers, and contracts in the settings of some seeds

Each seed has a service whose servers are cold for 3 s after their start and tolerate 6 requests per second then. Servers restart, one or all at once, and publish with their heartbeats how much longer they are cold. The check reports more requests within a second than the operators' bound of 14, and what it reports of other requests. The settings of about half of the seeds contain the contracts health and places.

The schedules of the other faults of a seed are as before: the servers are not among those that a seed selects by number. checkResult is a part of checkResults, without changes.

--- a/tests/soak/fleet_test.go
+++ b/tests/soak/fleet_test.go
@@ -71,9 +71,10 @@
 
 	mu         sync.Mutex
 	version    int64
-	keys       []string // valid keys of the published configuration
-	added      []string // names of routes that were added to those of all fleets
-	idleTimeMS int      // idle timeout of callers' connections in the published configuration
+	keys       []string             // valid keys of the published configuration
+	added      []string             // names of routes that were added to those of all fleets
+	idleTimeMS int                  // idle timeout of callers' connections in the published configuration
+	coldUntil  map[string]time.Time // until when servers of coldService are cold, by ID
 }
 
 // server is one backend server. Each restart gives it a new incarnation.
@@ -84,15 +85,18 @@
 
 	mu          sync.Mutex
 	incarnation int
+	coldUntil   time.Time // of the incarnation, if the service is coldService
 	http        *httptest.Server
 	handler     *runner.Runner
 }
 
 // newFleet starts the stand-ins and the daemons of a fleet. The daemons get the
-// addresses of the slot, which no other seed of this test process uses.
-func newFleet(t *testing.T, binary string, slot int, grace time.Duration) *fleet {
+// addresses of the slot, which no other seed of this test process uses, and settings with
+// the contracts.
+func newFleet(t *testing.T, binary string, slot int, grace time.Duration, contracts ...string) *fleet {
 	f := &fleet{t: t, grace: grace, store: metastore.New(), ledger: runner.NewLedger(), idleTimeMS: 15000,
-		keys: []string{"key-0", "key-1", "key-2", "key-3"}}
+		coldUntil: make(map[string]time.Time),
+		keys:      []string{"key-0", "key-1", "key-2", "key-3"}}
 	store := httptest.NewServer(f.store)
 	t.Cleanup(func() {
 		f.store.SetMode(metastore.Up)
@@ -107,7 +111,7 @@
 	dir := logDir(t)
 	for i := range *daemons {
 		ip := daemonIP(slot, i)
-		d := newDaemon(t, dir, ip, i, newProxy(t, strings.TrimPrefix(store.URL, "http://")), slot, grace, 284)
+		d := newDaemon(t, dir, ip, i, newProxy(t, strings.TrimPrefix(store.URL, "http://")), slot, grace, 284, contracts...)
 		d.disturbances = &f.disturbances
 		f.daemons = append(f.daemons, d)
 	}
@@ -144,10 +148,10 @@
 
 // newDaemon writes the settings of a daemon. The process is started by supervise, without the
 // memory limit that the settings state.
-func newDaemon(t *testing.T, dir, ip string, i int, store *proxy, slot int, grace time.Duration, memoryMB int) *daemon {
+func newDaemon(t *testing.T, dir, ip string, i int, store *proxy, slot int, grace time.Duration, memoryMB int, contracts ...string) *daemon {
 	at := func(port int) string { return net.JoinHostPort(ip, fmt.Sprint(port)) }
 	seed := fmt.Sprintf("%s:%d", daemonIP(slot, 0), controlPort)
-	raw, err := json.Marshal(map[string]any{
+	settings := map[string]any{
 		"nodeName": fmt.Sprint("edge-", i), "ip": ip, "zone": "a",
 		"listen": map[string]string{"frontend": at(frontPort), "readiness": at(readyPort),
 			"control": at(controlPort), "directory": at(directoryPort)},
@@ -157,7 +161,11 @@
 		"bounds": map[string]any{"graceS": grace.Seconds(), "failClosed": true, "revokeMs": revokeBound.Milliseconds(),
 			"configApplyMs": applyBound.Milliseconds(), "retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 58},
 		"platform": map[string]string{"address": store.address()},
-	})
+	}
+	if len(contracts) > 0 {
+		settings["contracts"] = contracts
+	}
+	raw, err := json.Marshal(settings)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -321,13 +329,19 @@
 		CrashPart: crashPart, Crash: func() { s.f.crash(s) }}
 	s.http = httptest.NewServer(s.handler)
 	s.proxy = newProxy(s.f.t, strings.TrimPrefix(s.http.URL, "http://"))
+	if s.service == coldService {
+		s.coldUntil = time.Now().Add(coldTime)
+		s.f.mu.Lock()
+		s.f.coldUntil[s.handler.ID] = s.coldUntil
+		s.f.mu.Unlock()
+	}
 	s.register()
 }
 
 // register writes the server's entry to the store.
 func (s *server) register() {
-	entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","slots":16,"state":"ready","born":%d,"sequence":1}`,
-		s.service, s.proxy.address(), s.incarnation)
+	entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","slots":16,"state":"ready","born":%d,"coldRemainingMs":%d,"sequence":1}`,
+		s.service, s.proxy.address(), s.incarnation, max(time.Until(s.coldUntil), 0).Milliseconds())
 	s.f.store.Put("servers/"+s.handler.ID, []byte(entry))
 }
 
@@ -368,15 +382,16 @@
 		return fmt.Sprintf(`{"name":%q,"host":"soak.example","pathPrefix":"/%s/","type":%q,"timeoutMs":%d,"service":%q,"maxAttempts":%d,"resumable":%t}`,
 			name, name, kind, timeout.Milliseconds(), service, attempts, kind == "streaming")
 	}
-	added := ""
+	added := "," + route(coldService, "safe", coldService, 2, routeTimeout)
 	for _, name := range f.added {
 		added += "," + route(name, "safe", "plain", 2, routeTimeout)
 	}
-	doc := fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s,%s%s],"services":[{"name":"models","maxConns":200},{"name":"plain","maxConns":200}],
+	doc := fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s,%s%s],"services":[{"name":"models","maxConns":200},{"name":"plain","maxConns":200},
+			{"name":%q,"maxConns":200,"coldStartS":%v,"coldPerS":%v}],
 		"limits":{"maxBodyBytes":65536,"idleTimeoutMs":%d},"tenants":[{"name":"w","apiKeys":%s}]}`, f.version,
 		route("safe", "safe", "plain", 2, routeTimeout), route("unsafe", "unsafe", "plain", 2, routeTimeout),
 		route("stream", "streaming", "models", 3, routeTimeout),
-		route(slowStream, "streaming", "models", 3, slowTimeout), added, f.idleTimeMS, keys)
+		route(slowStream, "streaming", "models", 3, slowTimeout), added, coldService, coldTime.Seconds(), coldPerSecond, f.idleTimeMS, keys)
 	f.store.Put("op/config", []byte(doc))
 }
 
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -72,7 +72,8 @@
 // TestSoak checks, for each seed, that no unsafe request runs twice, that no request
 // reported as not run has run, that no key is accepted longer than revokeBound after
 // its revocation, that no caller gets a response with a wrong body, that servers which
-// leave or ask for a pause are left alone, and that the fleet recovers after the faults.
+// leave or ask for a pause are left alone, that cold servers get no more requests than
+// they tolerate, and that the fleet recovers after the faults.
 func TestSoak(t *testing.T) {
 	const firstSlot = 1
 	runSeeds(t, regressions, firstSlot, runSeed)
@@ -106,13 +107,13 @@
 	rng := rand.New(rand.NewPCG(seed, 0))
 	changes := rand.New(rand.NewPCG(seed, changesStream))
 	grace := []time.Duration{4 * time.Second, 8 * time.Second}[changes.IntN(2)]
-	f := newFleet(t, binary, slot, grace)
+	f := newFleet(t, binary, slot, grace, contractsOf(seed)...)
 	const startTimeout = 20 * time.Second
 	if !f.awaitReady(startTimeout) {
 		t.Fatal("the fleet did not become ready")
 	}
 	plannedOnly := seed%4 == 0 // only operations that are planned in production
-	var results resultList
+	var results, coldResults resultList
 	ctx, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	for i := range *callers {
@@ -120,6 +121,7 @@
 		wg.Go(func() { c.run(ctx) })
 	}
 	f.startPersistentCallers(ctx, &wg, seed, &results)
+	f.startColdServers(ctx, &wg, seed, &coldResults)
 	wg.Go(func() { f.changeIdleTimeout(ctx, rand.New(rand.NewPCG(seed, idleStream))) })
 	var left leavingServers
 	wg.Go(func() { left = f.changeServerModes(ctx, rand.New(rand.NewPCG(seed, modeStream))) })
@@ -134,6 +136,7 @@
 	f.checkResults(results.all, revoked)
 	f.checkLeaving(results.all, left)
 	f.checkPauses(results.all)
+	f.checkCold(coldResults.all, revoked)
 	f.checkRecovery(seed)
 }
 
@@ -147,6 +150,8 @@
 	badStream        = 1003
 	killStream       = 1004
 	changeStream     = 1005
+	contractStream   = 1006
+	coldStream       = 1100 // and the next ones, one for each caller
 	persistentStream = 2000
 )
 
@@ -274,36 +279,10 @@
 		f.t.Fatal("no request ended")
 	}
 	served := 0
-	for _, r := range results {
-		runs := f.ledger.Runs(r.id)
-		if r.kind == "unsafe" && len(runs) > 1 {
-			f.t.Errorf("unsafe %s ran %d times", r.id, len(runs))
-		}
-		switch r.status {
-		case 200:
+	for i := range results {
+		f.checkResult(&results[i], revoked)
+		if results[i].status == 200 {
 			served++
-		case wrongBody:
-			f.t.Errorf("%s %s got a response with the wrong body: %s", r.kind, r.id, r.err)
-		case 503, 429, 408, 421:
-			if len(runs) > 0 {
-				f.t.Errorf("%s %s was reported as not run (status %d) but ran at %v", r.kind, r.id, r.status, runs)
-			}
-		case 401:
-			// A paused daemon reads and authenticates the request only when it resumes,
-			// so the end of the request counts.
-			if at, ok := revoked[r.key]; !ok || r.ended.Add(time.Second).Before(at) {
-				f.t.Errorf("%s %s was refused although its key was valid", r.kind, r.id)
-			}
-		case 404:
-			f.t.Errorf("%s %s: route not found", r.kind, r.id)
-		case connBroken:
-			if f.lost(&r, runs) {
-				f.t.Errorf("%s %s was lost by daemon %s, which was not disturbed: written at %v, ended %v later: %s; runs: %v",
-					r.kind, r.id, r.daemon, r.posted, r.ended.Sub(r.posted), r.err, runs)
-			}
-		}
-		if at, ok := revoked[r.key]; ok && len(runs) > 0 && r.sent.After(at.Add(revokeBound)) {
-			f.t.Errorf("%s %s ran with a key that was revoked %v before", r.kind, r.id, r.sent.Sub(at))
 		}
 	}
 	f.t.Logf("%d requests, %d served", len(results), served)
@@ -312,6 +291,38 @@
 	}
 }
 
+// checkResult compares one result with the runs of its request.
+func (f *fleet) checkResult(r *result, revoked map[string]time.Time) {
+	runs := f.ledger.Runs(r.id)
+	if r.kind == "unsafe" && len(runs) > 1 {
+		f.t.Errorf("unsafe %s ran %d times", r.id, len(runs))
+	}
+	switch r.status {
+	case wrongBody:
+		f.t.Errorf("%s %s got a response with the wrong body: %s", r.kind, r.id, r.err)
+	case 503, 429, 408, 421:
+		if len(runs) > 0 {
+			f.t.Errorf("%s %s was reported as not run (status %d) but ran at %v", r.kind, r.id, r.status, runs)
+		}
+	case 401:
+		// A paused daemon reads and authenticates the request only when it resumes,
+		// so the end of the request counts.
+		if at, ok := revoked[r.key]; !ok || r.ended.Add(time.Second).Before(at) {
+			f.t.Errorf("%s %s was refused although its key was valid", r.kind, r.id)
+		}
+	case 404:
+		f.t.Errorf("%s %s: route not found", r.kind, r.id)
+	case connBroken:
+		if f.lost(r, runs) {
+			f.t.Errorf("%s %s was lost by daemon %s, which was not disturbed: written at %v, ended %v later: %s; runs: %v",
+				r.kind, r.id, r.daemon, r.posted, r.ended.Sub(r.posted), r.err, runs)
+		}
+	}
+	if at, ok := revoked[r.key]; ok && len(runs) > 0 && r.sent.After(at.Add(revokeBound)) {
+		f.t.Errorf("%s %s ran with a key that was revoked %v before", r.kind, r.id, r.sent.Sub(at))
+	}
+}
+
 // closeRaceWindow is the time after which a daemon that has read a request must
 // respond to it, or pass it on, before it closes the connection.
 const closeRaceWindow = 200 * time.Millisecond
