--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -68,9 +68,9 @@
 	// memoryLimitRatio is the part of Settings.MemoryBytes that is set as the soft
 	// memory limit of the Go runtime.
 	memoryLimitRatio = 0.8
-	// bodyMemoryRatio is the part of Settings.MemoryBytes for callers' request
+	// BodyMemoryRatio is the part of Settings.MemoryBytes for callers' request
 	// bodies. A body that is being sent takes twice its size.
-	bodyMemoryRatio = 0.15
+	BodyMemoryRatio = 0.15
 	// responseMemoryRatio is the part of Settings.MemoryBytes for what is held of the
 	// responses of servers.
 	responseMemoryRatio = 0.15
@@ -151,7 +151,7 @@
 		Jitter:          d.placementJitter,
 		Recorder:        d,
 		Settings:        ingress.Settings{Zone: s.Zone, KeyLease: s.KeyLease, ConfigLag: s.ConfigLag},
-		Bodies:          memory.NewBudget(int64(float64(s.MemoryBytes) * bodyMemoryRatio)),
+		Bodies:          memory.NewBudget(int64(float64(s.MemoryBytes) * BodyMemoryRatio)),
 		Responses:       memory.NewBudget(int64(float64(s.MemoryBytes) * responseMemoryRatio)),
 		Draining:        d.drainTimeLeft,
 		TriggerExchange: triggerExchange,
--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -119,13 +119,17 @@
 	}
 }
 
+// MinConns is the number of connections that each daemon may have to one server in any
+// case.
+const MinConns = 2
+
 // maxConns returns how many connections this daemon may have to one server; 0: no
 // limit.
 func (q *request) maxConns() int {
 	if q.service.MaxConns <= 0 {
 		return 0
 	}
-	return max(q.service.MaxConns/max(q.h.FleetSize(), 1), 2)
+	return max(q.service.MaxConns/max(q.h.FleetSize(), 1), MinConns)
 }
 
 // handleSendError handles an attempt that received no response. It returns
--- a/gateway/ingress/connheader.go
+++ b/gateway/ingress/connheader.go
@@ -10,6 +10,10 @@
 // reusing a connection, so that a request is not on its way when it is closed.
 const keepAliveMargin = time.Second
 
+// MinIdleTimeout is the shortest idle timeout that is announced to callers: Keep-Alive
+// has whole seconds.
+const MinIdleTimeout = keepAliveMargin + time.Second
+
 // connHeaderWriter tells the caller, in the header of each response, how long the
 // connection may be reused.
 type connHeaderWriter struct {
@@ -38,7 +42,8 @@
 	if table == nil {
 		return
 	}
-	if reusable := table.Limits().IdleTimeout - keepAliveMargin; reusable >= time.Second {
+	if idle := table.Limits().IdleTimeout; idle >= MinIdleTimeout {
+		reusable := idle - keepAliveMargin
 		header.Set("Keep-Alive", "timeout="+strconv.Itoa(int(reusable/time.Second)))
 	}
 }
--- a/gateway/ingress/server.go
+++ b/gateway/ingress/server.go
@@ -13,8 +13,8 @@
 // higher than the limits of the configuration, because the configuration can change
 // while connections are open.
 const (
-	maxHeaderBytes = 64 << 10
-	headerTimeout  = 10 * time.Second
+	MaxHeaderBytes = 64 << 10
+	HeaderTimeout  = 10 * time.Second
 )
 
 // ErrStopped is the cause with which Server.Stop ends the contexts of requests.
@@ -56,8 +56,8 @@
 	s.http = &http.Server{
 		BaseContext:       func(net.Listener) context.Context { return ctx },
 		Handler:           h,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    MaxHeaderBytes,
+		ReadHeaderTimeout: HeaderTimeout,
 		ConnState:         s.connState,
 	}
 	return s
