cassialatchgw: check a configuration document with -check

The flag is part of this program and not of cassialatch: the build that checks then has the decoder of the build that runs, and the users' platform builds this program only. cassialatchd does not change.

--- a/cassialatchgw/main.go
+++ b/cassialatchgw/main.go
@@ -2,7 +2,7 @@
 //
 // It reads its settings from the file named by CASSIALATCH_NODE_FILE. SIGTERM
 // and SIGINT drain and stop the daemon; SIGHUP reads the settings again and adds
-// new seeds.
+// new seeds. With -check it runs no daemon, but checks a configuration document.
 package main
 
 import (
@@ -27,7 +27,17 @@
 	defer stop()
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
+	var check checkFlags
+	check.register(flag.CommandLine)
 	flag.Parse()
+	if err := check.validate(flag.NArg()); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitUsage)
+	}
+	if check.file != "" {
+		signal.Reset() // SIGINT ends the program, also while it reads
+		os.Exit(check.check(os.Stdin, os.Stdout, os.Stderr))
+	}
 	if err := run(ctx, hup, *metrics); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
