--- a/gateway/call/call.go
+++ b/gateway/call/call.go
@@ -29,6 +29,7 @@
 	Parts           []Part        // parts of the prompt, in order; the last is specific to this request or chat
 	PromptTokens    int           // tokens of the prompt
 	MaxOutputTokens int           // upper bound on generated tokens
+	OutputTokens    int           // expected number of generated tokens; 0 if not stated
 }
 
 // SharedParts returns the parts that other requests may have in common with this
--- a/gateway/route/route.go
+++ b/gateway/route/route.go
@@ -39,6 +39,10 @@
 	MaxAttempts int  // attempts that may have run a request; those that a server refused do not count
 	Public      bool // needs no API key
 	Resumable   bool // an interrupted stream may be resumed at another server
+
+	// LatencyObjective is the time within which a response has its full value: the first
+	// event of a stream, or the whole of another response. 0: not stated.
+	LatencyObjective time.Duration
 }
 
 // Repeatable reports whether a request may run more than once.
