ingress: ask package admission before each send

While all servers of a service have their slots taken by the counts, a request may wait before the checks that precede each send, or is refused as not run with reason no_room and a Retry-After. Requests without a prompt are then spread over the servers. Only routes that state a latency objective take part, and only requests that no server may have run.

--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -43,6 +43,7 @@
 	defer func() {
 		q.loadEntry.End()
 		a.Duration = time.Since(a.start)
+		q.recordRun(a)
 		if a.promptNotComputed() {
 			q.h.CacheIndex.MarkRefused(q.call.SharedParts(), cacheindex.Holder(s.Tag()))
 		}
@@ -164,6 +165,7 @@
 		q.h.Health.RecordUnreachable(s.ID)
 	} else {
 		q.h.Health.RecordRefusal(s.ID)
+		q.recordFull(s)
 	}
 	drain(resp)
 	return true
--- a/gateway/ingress/choose.go
+++ b/gateway/ingress/choose.go
@@ -13,7 +13,8 @@
 type choice struct {
 	placement.Candidate
 	cause  placement.Cause
-	source *catalog.Server // server to fetch cached parts from that the chosen one lacks; nil if there is none
+	among  []placement.Candidate // all servers that may be chosen
+	source *catalog.Server       // server to fetch cached parts from that the chosen one lacks; nil if there is none
 }
 
 // choose returns the server for the next attempt; nil if there is none.
@@ -27,12 +28,12 @@
 	if len(q.call.Parts) > 0 {
 		i, cause = placement.ChooseForPrompt(candidates, q.call.SharedParts())
 	} else {
-		i = placement.LeastLoaded(candidates, q.h.Settings.Zone)
+		i = q.leastLoaded(candidates)
 	}
 	if i < 0 {
 		return nil, choice{}
 	}
-	chosen := choice{Candidate: candidates[i], cause: cause}
+	chosen := choice{Candidate: candidates[i], cause: cause, among: candidates}
 	if chosen.Source != "" {
 		chosen.source = serverByID(all, chosen.Source)
 	}
@@ -99,14 +100,15 @@
 // candidates returns the servers that were not tried yet, want requests and are not in
 // backoff; if there are none, those in backoff.
 func (q *request) candidates(states []serverState, sources []placement.Source) []placement.Candidate {
-	var ready, backingOff []placement.Candidate
+	ready := make([]placement.Candidate, 0, len(states))
+	var backingOff []placement.Candidate
 	for i := range states {
 		s := &states[i]
 		if q.tried[s.ID] || q.avoided(s.Server) {
 			continue
 		}
 		c := placement.Candidate{
-			ID: s.ID, Zone: s.Zone, InFlight: s.work.Requests, QueuedTokens: s.work.Tokens, Penalty: s.penalty,
+			ID: s.ID, Zone: s.Zone, InFlight: s.work.Requests, Slots: s.Slots, QueuedTokens: s.work.Tokens, Penalty: s.penalty,
 			MissingTokens: s.coverage.MissingTokens, Ready: s.coverage.Ready, Usage: s.usage,
 		}
 		c.ChooseSource(sources)
--- a/gateway/ingress/handler.go
+++ b/gateway/ingress/handler.go
@@ -18,6 +18,7 @@
 	"net/http"
 	"time"
 
+	"cassialatch.dev/gateway/admission"
 	"cassialatch.dev/gateway/avoid"
 	"cassialatch.dev/gateway/cacheindex"
 	"cassialatch.dev/gateway/call"
@@ -73,6 +74,9 @@
 	// Draining reports whether the daemon is draining and, if so, how long a
 	// request that is admitted now may take.
 	Draining func() (left time.Duration, draining bool)
+	// Admission decides which requests go first while capacity is insufficient; nil: all
+	// are sent.
+	Admission *admission.Controller
 
 	// Bodies is the memory for the request bodies that are held at once, and Responses
 	// that for what is held of the responses of servers.
@@ -144,6 +148,8 @@
 	failedResponse *bufferedResponse // last 5xx response of a server, forwarded if no attempt succeeds
 	finished       bool              // the response was sent or aborted
 	loadEntry      *load.Entry       // of the current attempt
+
+	admission *admission.Request // nil before capacity was found to be insufficient
 }
 
 // remaining returns the time until the deadline.
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -49,6 +49,7 @@
 	ReasonStopped          Reason = "daemon_stopped" // the drain ended before the request did
 	ReasonNoServer         Reason = "no_server"
 	ReasonServersPaused    Reason = "servers_paused" // all servers left have asked for a pause
+	ReasonNoRoom           Reason = "no_room"        // capacity is insufficient, and other requests go first
 	ReasonRetryBudget      Reason = "retry_budget_spent"
 	ReasonDeadline         Reason = "deadline"
 	ReasonNotSent          Reason = "not_sent"
@@ -100,6 +101,7 @@
 	Outcome       Outcome
 	Status        int
 	Reason        Reason
+	Waited        time.Duration // at this daemon, for servers with free slots
 	FirstByte     time.Duration // time until the first byte of the response was forwarded
 	Duration      time.Duration
 	Writes        int                  // writes of stream events to the caller
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"cassialatch.dev/gateway/admission"
 )
 
 // maxSends is the maximum number of servers that one request is sent to,
@@ -18,8 +20,9 @@
 // further attempt is allowed. It writes the response to the caller.
 func (q *request) run(ctx context.Context, w http.ResponseWriter) {
 	q.awaitCaches(ctx)
+	defer q.leaveQueue()
 	attempts := 0 // those in which a server may have run the request
-	for sends := 0; sends < maxSends; sends++ {
+	for sends := 0; sends < maxSends; {
 		if ctx.Err() != nil {
 			q.endInterrupted(ctx, w)
 			return
@@ -41,10 +44,22 @@
 			q.giveUpWithoutServer(w)
 			return
 		}
+		switch d := q.decideAdmission(chosen); d.Action {
+		case admission.Wait:
+			if reject := q.awaitRoom(ctx, d.Wait); reject != nil {
+				q.endRejected(w, reject)
+				return
+			}
+			continue // all checks apply again
+		case admission.Refuse:
+			q.giveUp(w, ReasonNoRoom, d.RetryAfter)
+			return
+		}
 		if q.sent() && !q.h.Budget.Allow(q.service.Name) {
 			q.giveUp(w, ReasonRetryBudget, overloadRetryAfter)
 			return
 		}
+		sends++
 		retryable := q.attempt(ctx, w, server, chosen)
 		if q.finished {
 			return
--- a/gateway/placement/placement.go
+++ b/gateway/placement/placement.go
@@ -20,6 +20,7 @@
 	ID              string
 	Zone            string
 	InFlight        int     // requests in flight from all daemons
+	Slots           int     // requests that it runs at the same time; 0: not stated
 	Penalty         float64 // load added for recent failures, in requests in flight
 	QueuedTokens    int     // prompt tokens of requests in flight that it has yet to compute
 	MissingTokens   int     // tokens of the prompt's shared parts that are not in its cache
