daemon, cassialatchgw: flag -overload, metrics and log field of admission

-overload=off sends all requests as before. Log field waited_ms; metrics admission_waiting, admission_delayed_total and admission_refused_total.

--- a/cassialatchgw/main.go
+++ b/cassialatchgw/main.go
@@ -21,6 +21,7 @@
 
 func main() {
 	metrics := flag.String("metrics", "", "port of the metrics endpoint; none if empty")
+	overload := flag.String("overload", "on", "on: while servers have too little capacity, the requests that cost callers least are delayed or refused; off: all are sent")
 	// Signals are caught before anything else, so that a signal during the start
 	// does not kill the process.
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -28,7 +29,7 @@
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	flag.Parse()
-	if err := run(ctx, hup, *metrics); err != nil {
+	if err := run(ctx, hup, *metrics, *overload); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
@@ -36,11 +37,14 @@
 
 // run runs the daemon until the context ends and it has drained. metricsPort is
 // empty if metrics are not served.
-func run(ctx context.Context, hup <-chan os.Signal, metricsPort string) error {
+func run(ctx context.Context, hup <-chan os.Signal, metricsPort, overload string) error {
 	s, err := platform.ReadSettings()
 	if err != nil {
 		return err
 	}
+	if s.Overload, err = parseOverload(overload); err != nil {
+		return err
+	}
 	if metricsPort != "" {
 		s.Metrics = net.JoinHostPort(s.IP, metricsPort)
 	}
@@ -56,6 +60,25 @@
 	return d.Run(ctx)
 }
 
+// FlagError is returned for a flag whose value is not permitted.
+type FlagError struct{ Flag, Value string }
+
+// Error implements error.
+func (e *FlagError) Error() string {
+	return fmt.Sprintf("cassialatchgw: flag -%s: value %q is not permitted", e.Flag, e.Value)
+}
+
+// parseOverload parses the flag -overload.
+func parseOverload(value string) (bool, error) {
+	switch value {
+	case "on":
+		return true, nil
+	case "off":
+		return false, nil
+	}
+	return false, &FlagError{Flag: "overload", Value: value}
+}
+
 func reload() (daemon.Settings, error) {
 	s, err := platform.ReadSettings()
 	return s.Settings, err
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -20,6 +21,7 @@
 	"syscall"
 	"time"
 
+	"cassialatch.dev/gateway/admission"
 	"cassialatch.dev/gateway/avoid"
 	"cassialatch.dev/gateway/boottime"
 	"cassialatch.dev/gateway/cacheindex"
@@ -152,6 +154,9 @@
 		TriggerExchange: triggerExchange,
 		CachesKnown:     d.scanner.Done(),
 	}
+	if s.Overload {
+		d.handler.Admission = admission.New(time.Now, rand.Float64)
+	}
 	d.quarantine.Log = d.log
 	d.frontend = ingress.NewServer(d.handler)
 	d.pool.OnDial = d.countDial
@@ -176,6 +181,12 @@
 func (d *Daemon) Record(r *ingress.Record) {
 	d.log.Request(r)
 	d.metrics.Request(r.Service, string(r.Outcome), string(r.Reason), r.FirstByte, r.Duration)
+	if r.Waited > 0 {
+		d.metrics.Count("admission_delayed")
+	}
+	if r.Reason == ingress.ReasonNoRoom {
+		d.metrics.Count("admission_refused")
+	}
 }
 
 // PeerFetchFailed implements peers.FetchLog. It logs and counts the failure.
@@ -232,6 +243,9 @@
 	d.metrics.Gauge("server_connections", func() float64 { return float64(d.pool.OpenConns()) })
 	d.metrics.Gauge("body_memory_bytes", func() float64 { return float64(d.handler.Bodies.Used()) })
 	d.metrics.Gauge("response_memory_bytes", func() float64 { return float64(d.handler.Responses.Used()) })
+	if d.handler.Admission != nil {
+		d.metrics.Gauge("admission_waiting", func() float64 { return float64(d.handler.Admission.Waiting()) })
+	}
 	d.metrics.Gauge("cache_news_lost", func() float64 { return float64(d.cacheIndex.DroppedUpdates()) })
 	d.metrics.Gauge("log_lines_dropped", func() float64 { return float64(d.writer.Dropped()) })
 }
--- a/gateway/daemon/maintain.go
+++ b/gateway/daemon/maintain.go
@@ -32,6 +32,9 @@
 		d.cacheIndex.Expire(func(h cacheindex.Holder) bool { return holders[h] })
 		d.pool.Expire(func(id string) bool { return listed[id] })
 		d.health.Expire()
+		if d.handler.Admission != nil {
+			d.handler.Admission.Expire()
+		}
 		d.avoid.Expire(func(s catalog.Incarnation) bool { return view.Servers[s] != nil })
 		if view.Table != nil {
 			for range d.frontend.CloseIdle(view.Table.Limits().IdleTimeout) {
--- a/gateway/daemon/settings.go
+++ b/gateway/daemon/settings.go
@@ -20,6 +20,9 @@
 	KeyLease    time.Duration // how long API keys are accepted after the last confirmation; 0: no limit
 	ConfigLag   time.Duration // within which a new configuration must be in force; 0: no limit
 	Grace       time.Duration // between SIGTERM and SIGKILL
+	// Overload is set if requests are delayed or refused by what they cost their callers
+	// while capacity is insufficient.
+	Overload bool
 	// FirstStart is set if the whole fleet starts for the first time: no daemon
 	// has any state to share, and all caches of backend servers are empty.
 	FirstStart bool
--- a/gateway/eventlog/log.go
+++ b/gateway/eventlog/log.go
@@ -49,6 +49,9 @@
 		Int64("version", r.ConfigVersion).Int64("revision", r.StoreRevision).
 		Int64("confirmed_ms", r.ConfirmedAge.Milliseconds()).
 		Int64("first_ms", r.FirstByte.Milliseconds()).Int64("took_ms", r.Duration.Milliseconds())
+	if r.Waited > 0 {
+		e.Int64("waited_ms", r.Waited.Milliseconds())
+	}
 	if r.PromptKey != 0 {
 		e.Str("prompt", strconv.FormatUint(uint64(r.PromptKey), 16))
 	}
