--- a/gateway/admission/service.go
+++ b/gateway/admission/service.go
@@ -157,26 +157,20 @@
 }
 
 // expectedWait returns the least time that a request is expected to wait at one of the
-// servers, and how long their queues are: 0 if all slots are just taken, 1 if
-// everything is to be held back that may be.
+// servers, and how long the shortest of their queues is: as a part of the time that the
+// objective leaves for it.
 func (s *service) expectedWait(r *Request, servers []Server, now time.Time) (time.Duration, float64) {
 	share := s.traffic.aheadShare(r.Priority)
 	usual := s.estimator.Usual()
 	wait, drain := math.Inf(1), math.Inf(1)
-	inFlight, slots := 0, 0
 	for i := range servers {
 		v := &servers[i]
-		inFlight += v.InFlight
-		slots += v.Slots
 		perRequest := v.pace() * usual.Seconds() / float64(max(v.Slots, 1))
 		wait = min(wait, max(float64(v.InFlight)*share-float64(v.Slots)+1, 0)*perRequest)
 		drain = min(drain, max(float64(v.InFlight-v.Slots)+1, 0)*perRequest)
 	}
-	level := float64(inFlight-slots) / float64(max(slots, 1))
-	if budget := r.Objective.Sub(r.Start) - s.untilObjective(r); budget > 0 {
-		level = max(level, drain/budget.Seconds())
-	}
-	return min(seconds(wait), s.waitObserved(r, now)), level
+	budget := max(r.Objective.Sub(r.Start)-s.untilObjective(r), time.Millisecond)
+	return min(seconds(wait), s.waitObserved(r, now)), drain / budget.Seconds()
 }
 
 // waitObserved returns how long a request waits at most by the last run that was no
