--- a/gateway/eventlog/eventlog_test.go
+++ b/gateway/eventlog/eventlog_test.go
@@ -71,6 +71,7 @@
 	for _, r := range []ingress.Record{
 		{ID: "refused", Outcome: ingress.OutcomeNotRun, Status: 503, Reason: ingress.ReasonKeyLeaseExpired,
 			ConfigVersion: 4, StoreRevision: 17, ConfirmedAge: 4963 * time.Millisecond},
+		{ID: "no room", Outcome: ingress.OutcomeNotRun, Status: 503, Reason: ingress.ReasonNoRoom, Waited: 120 * time.Millisecond},
 		{ID: "broken", Outcome: ingress.OutcomeUnknown, Status: 502, Reason: ingress.ReasonConnectionBroken, Attempts: []ingress.Attempt{
 			{Server: "i-1", Cause: placement.CauseLoad, InFlight: 3, Reason: ingress.ReasonConnectionBroken, Detail: "reset by peer"}}},
 		{ID: "late", PromptKey: 0x5c1e07a2, Outcome: ingress.OutcomeUnknown, Status: 504, Reason: ingress.ReasonDeadline, Duration: 400 * time.Millisecond,
@@ -91,6 +92,9 @@
 	is.Equal(byID["refused"]["reason"], "configuration_not_confirmed")
 	is.Equal(byID["refused"]["confirmed_ms"], 4963.0)
 	is.Equal(byID["refused"]["version"], 4.0)
+	is.Equal(byID["no room"]["reason"], "no_room")
+	is.Equal(byID["no room"]["waited_ms"], 120.0)
+	is.Equal(byID["refused"]["waited_ms"], nil)
 	attempt := func(id string) map[string]any { return byID[id]["attempts"].([]any)[0].(map[string]any) }
 	is.Equal(byID["broken"]["outcome"], "unknown")
 	is.Equal(attempt("broken")["server"], "i-1")
