admission: keep service times while capacity is sufficient

Expire removed services that had never lacked capacity, each second, and with them the service times: when capacity became insufficient, nothing was known for the first 8 runs. The test failed before.

--- a/gateway/admission/service.go
+++ b/gateway/admission/service.go
@@ -223,6 +223,7 @@
 
 // recordRun learns from a run that has ended.
 func (s *service) recordRun(run Run, now time.Time) {
+	s.used = now
 	s.estimator.Record(&run, now)
 	if !s.estimator.Known() {
 		return
--- a/gateway/admission/wait_test.go
+++ b/gateway/admission/wait_test.go
@@ -203,10 +203,13 @@
 	is.True(r.Calm())
 }
 
-// Guards against a service that is no longer used but takes memory.
+// Guards against a service that is no longer used but takes memory, and against service
+// times that are forgotten while capacity is sufficient.
 func TestExpire_RemovesUnusedServices(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t)
+	r.Expire()
+	is.True(r.service("s").estimator.Known())
 	r.press(0)
 	q := r.wait(r.request(2, "w"))
 	r.advance(2 * serviceTTL)
