admission: reserve by runs; objectives that no server meets

What is held back gets one in eight runs, also where everything is: before, only requests that were sent at once added to the reserve. A request that does not wait gets one chance, not two.

--- a/gateway/admission/queue.go
+++ b/gateway/admission/queue.go
@@ -9,10 +9,10 @@
 	// maxWaiting is the number of requests of a service that wait at a daemon. Each
 	// holds a connection of its caller and its body.
 	maxWaiting = 256
-	// reservePerSend is what each request that is not held back adds to the reserve of
-	// those that are: one in nine of the requests sent is of these, however high the
-	// pressure. A quarter would cost more of the urgent ones (docs/design/overload.md).
-	reservePerSend = 1.0 / 8
+	// reservePerRun is what each run that ends adds to the reserve of the requests that are
+	// held back: one in eight is of these, however high the pressure. A quarter would cost
+	// more of the urgent ones (docs/design/overload.md).
+	reservePerRun = 1.0 / 8
 	// oldestEvery is how often a release by credit goes to the oldest request instead
 	// of the most valuable one.
 	oldestEvery = 4
@@ -29,7 +29,7 @@
 		return
 	}
 	passing := s.pressure.passing(now)
-	spare := r.Objective.Sub(now) - s.untilObjective(r)
+	spare := s.objective(r).Sub(now) - s.untilObjective(r)
 	r.holdUntil = now.Add(time.Duration(passing * passing * float64(max(spare, 0))))
 	if !now.Before(r.holdUntil) {
 		return
@@ -48,7 +48,7 @@
 // priority is worth twice the next one, and so is a response within the objective.
 func (s *service) value(r *Request, now time.Time) float64 {
 	value := priorityValue(r.Priority)
-	if !now.Add(s.untilObjective(r)).After(r.Objective) {
+	if !now.Add(s.untilObjective(r)).After(s.objective(r)) {
 		value *= 2
 	}
 	usual := max(s.estimator.Usual().Seconds(), minWork)
--- a/gateway/admission/service.go
+++ b/gateway/admission/service.go
@@ -81,7 +81,7 @@
 		return Decision{Action: Send}
 	}
 	s.hold(r, now)
-	if !now.Before(r.holdUntil) && s.lucky(r, now) {
+	if r.queued && !now.Before(r.holdUntil) && s.lucky(r, now) {
 		return Decision{Action: Send}
 	}
 	if r.evicted || !now.Before(r.holdUntil) {
@@ -92,11 +92,7 @@
 
 // passes reports whether a request is sent although all slots are taken.
 func (s *service) passes(r *Request, wait time.Duration, now time.Time) bool {
-	if !s.heldBack(r, wait, now) {
-		s.reserve = min(s.reserve+reservePerSend, 1)
-		return true
-	}
-	if s.lucky(r, now) {
+	if !s.heldBack(r, wait, now) || s.lucky(r, now) {
 		return true
 	}
 	if s.reserve >= 1 && s.c.random() < s.traffic.allowance(r.Workspace) {
@@ -156,6 +152,16 @@
 	return s.total(r)
 }
 
+// objective returns the time within which a request is worth the most. If no server is fast
+// enough for its objective, the deadline counts.
+func (s *service) objective(r *Request) time.Time {
+	first := s.untilObjective(r)
+	if r.Start.Add(first).After(r.Objective) {
+		return r.Deadline.Add(first - s.total(r))
+	}
+	return r.Objective
+}
+
 // expectedWait returns the least time that a request is expected to wait at one of the
 // servers, and how long the shortest of their queues is: as a part of the time that the
 // objective leaves for it.
@@ -169,7 +175,7 @@
 		wait = min(wait, max(float64(v.InFlight)*share-float64(v.Slots)+1, 0)*perRequest)
 		drain = min(drain, max(float64(v.InFlight-v.Slots)+1, 0)*perRequest)
 	}
-	budget := max(r.Objective.Sub(r.Start)-s.untilObjective(r), time.Millisecond)
+	budget := max(s.objective(r).Sub(r.Start)-s.untilObjective(r), time.Millisecond)
 	return min(seconds(wait), s.waitObserved(r, now)), drain / budget.Seconds()
 }
 
@@ -188,7 +194,7 @@
 func (s *service) heldBack(r *Request, wait time.Duration, now time.Time) bool {
 	return clampPriority(r.Priority) > s.traffic.mostUrgent() ||
 		s.total(r) > muchWork*s.estimator.Usual() ||
-		now.Add(wait+s.untilObjective(r)).After(r.Objective) ||
+		now.Add(wait+s.untilObjective(r)).After(s.objective(r)) ||
 		s.traffic.allowance(r.Workspace) < 1
 }
 
@@ -228,6 +234,7 @@
 	if !s.estimator.Known() {
 		return
 	}
+	s.reserve = min(s.reserve+reservePerRun, 1)
 	wait := max(run.First-s.estimator.First(run.PromptTokens), 0)
 	s.lastWait = observedWait{priority: clampPriority(run.Priority), wait: wait, at: now}
 	if len(s.queue) > 0 { // a slot is free that a waiting request may get
--- a/gateway/admission/simulation_test.go
+++ b/gateway/admission/simulation_test.go
@@ -136,6 +136,18 @@
 		f.after(5*time.Second, f.restart)
 		f.run(calm + 4*time.Second)
 		return f
+	}}, pattern{name: "objective that no server meets, 62 daemons, queue of 24", play: func(seed uint64, overload bool) *fleet {
+		f := plain(seed, overload, 62, 24, 1.5)
+		for _, k := range f.kinds {
+			k.objective = 10 * time.Millisecond
+		}
+		f.run(calm + 4*time.Second)
+		return f
+	}}, pattern{name: "requests of equal priority, 62 daemons, queue of 24", play: func(seed uint64, overload bool) *fleet {
+		f := plain(seed, overload, 62, 24, 1.5)
+		f.kinds[1].priority, f.kinds[1].weight = 0, f.kinds[0].weight
+		f.run(calm + 4*time.Second)
+		return f
 	}}, pattern{name: "callers that don't come back, 62 daemons, queue of 24", play: func(seed uint64, overload bool) *fleet {
 		f := plain(seed, overload, 62, 24, 1.5)
 		for _, k := range f.kinds {
