--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"syscall"
 	"time"
 
+	"cassialatch.dev/gateway/admission"
 	"cassialatch.dev/gateway/avoid"
 	"cassialatch.dev/gateway/boottime"
 	"cassialatch.dev/gateway/cacheindex"
@@ -162,6 +163,9 @@
 		TriggerExchange: triggerExchange,
 		CachesKnown:     d.scanner.Done(),
 	}
+	if s.Overload {
+		d.handler.Admission = admission.New(time.Now, rand.Float64)
+	}
 	d.quarantine.Log = d.log
 	if s.ServerState {
 		d.servers = serverstate.New(time.Now)
@@ -204,6 +208,12 @@
 	for range r.ColdDeferred {
 		d.metrics.Count("cold_deferred")
 	}
+	if r.Waited > 0 {
+		d.metrics.Count("admission_delayed")
+	}
+	if r.Reason == ingress.ReasonNoRoom {
+		d.metrics.Count("admission_refused")
+	}
 }
 
 // PeerFetchFailed implements peers.FetchLog. It logs and counts the failure.
@@ -262,6 +272,9 @@
 	d.metrics.Gauge("response_memory_bytes", func() float64 { return float64(d.handler.Responses.Used()) })
 	d.metrics.Gauge("cold_servers", func() float64 { return float64(d.warmup.Cold()) })
 	d.metrics.Gauge("evacuated_zones", func() float64 { return float64(len(d.catalog.View().Evacuated)) })
+	if d.handler.Admission != nil {
+		d.metrics.Gauge("admission_waiting", func() float64 { return float64(d.handler.Admission.Waiting()) })
+	}
 	d.metrics.Gauge("cache_news_lost", func() float64 { return float64(d.cacheIndex.DroppedUpdates()) })
 	d.metrics.Gauge("log_lines_dropped", func() float64 { return float64(d.writer.Dropped()) })
 	if d.servers != nil {
--- a/gateway/daemon/maintain.go
+++ b/gateway/daemon/maintain.go
@@ -35,6 +35,9 @@
 		if d.servers != nil {
 			d.servers.Expire()
 		}
+		if d.handler.Admission != nil {
+			d.handler.Admission.Expire()
+		}
 		isListed := func(s catalog.Incarnation) bool { return view.Servers[s] != nil }
 		d.avoid.Expire(isListed)
 		d.warmup.Expire(isListed)
--- a/gateway/ingress/choose.go
+++ b/gateway/ingress/choose.go
@@ -16,8 +16,9 @@
 type choice struct {
 	placement.Candidate
 	cause  placement.Cause
-	source *catalog.Server // server to fetch cached parts from that the chosen one lacks; nil if there is none
-	cold   bool            // the server is cold
+	among  []placement.Candidate // all servers that may be chosen
+	source *catalog.Server       // server to fetch cached parts from that the chosen one lacks; nil if there is none
+	cold   bool                  // the server is cold
 }
 
 // choose returns the server for the next attempt; nil if there is none.
@@ -45,12 +46,12 @@
 	case len(q.call.Parts) > 0:
 		i, cause = placement.ChooseForPrompt(candidates, q.call.SharedParts(), q.h.Jitter())
 	default:
-		i = placement.LeastLoaded(candidates, q.h.Settings.Zone, q.h.Jitter())
+		i = q.leastLoaded(candidates)
 	}
 	if i < 0 {
 		return nil, choice{}
 	}
-	chosen := choice{Candidate: candidates[i], cause: cause}
+	chosen := choice{Candidate: candidates[i], cause: cause, among: candidates}
 	if chosen.Source != "" {
 		chosen.source = serverByID(all, chosen.Source)
 	}
@@ -132,7 +133,8 @@
 // backoff; if there are none, those in backoff. Cold servers are left out while they may be
 // sent nothing. Before the daemon knows the size of the fleet, they come last of all.
 func (q *request) candidates(states []serverState, sources []placement.Source) []placement.Candidate {
-	var ready, backingOff, cold []placement.Candidate
+	ready := make([]placement.Candidate, 0, len(states))
+	var backingOff, cold []placement.Candidate
 	deferred := false // a cold server was left out
 	for i := range states {
 		s := &states[i]
@@ -144,7 +146,7 @@
 			continue
 		}
 		c := placement.Candidate{
-			ID: s.ID, Zone: s.Zone, InFlight: s.work.Requests, QueuedTokens: s.work.Tokens, Penalty: s.penalty, Pace: s.pace,
+			ID: s.ID, Zone: s.Zone, InFlight: s.work.Requests, Slots: s.Slots, QueuedTokens: s.work.Tokens, Penalty: s.penalty, Pace: s.pace,
 			MissingTokens: s.coverage.MissingTokens, Ready: s.coverage.Ready, Usage: s.usage,
 		}
 		c.ChooseSource(sources)
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -51,6 +51,7 @@
 	ReasonServersPaused    Reason = "servers_paused" // all servers left have asked for a pause
 	ReasonServersCold      Reason = "servers_cold"   // the servers left are cold, and may not be sent a request yet
 	ReasonZoneEvacuated    Reason = "zone_evacuated" // the servers left are in zones that are being evacuated
+	ReasonNoRoom           Reason = "no_room"        // capacity is insufficient, and other requests go first
 	ReasonRetryBudget      Reason = "retry_budget_spent"
 	ReasonDeadline         Reason = "deadline"
 	ReasonNotSent          Reason = "not_sent"
@@ -105,6 +106,7 @@
 	Outcome       Outcome
 	Status        int
 	Reason        Reason
+	Waited        time.Duration // at this daemon, for servers with free slots
 	FirstByte     time.Duration // time until the first byte of the response was forwarded
 	Duration      time.Duration
 	Writes        int                  // writes of stream events to the caller
