--- a/gateway/admission/service.go
+++ b/gateway/admission/service.go
@@ -245,9 +245,9 @@
 
 // recordRefusal learns that a server is full.
 func (s *service) recordRefusal(server string, now time.Time) {
-	for tag, at := range s.refusedAt {
+	for id, at := range s.refusedAt {
 		if now.Sub(at) >= fullFor {
-			delete(s.refusedAt, tag)
+			delete(s.refusedAt, id)
 		}
 	}
 	s.refusedAt[server] = now
--- a/gateway/admission/wait_test.go
+++ b/gateway/admission/wait_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -219,3 +221,41 @@
 	r.Expire()
 	is.Equal(len(r.services), 0)
 }
+
+// Guards against races between requests, and against places that are not given back:
+// callers wait, leave and are released at the same time.
+func TestController_ConcurrentUse(t *testing.T) {
+	is := is.New(t)
+	c := New(time.Now, rand.Float64)
+	run := Run{First: time.Millisecond, Total: time.Millisecond}
+	for range minRuns {
+		c.RecordRun("s", run)
+	}
+	var wg sync.WaitGroup
+	for i := range 32 {
+		wg.Go(func() {
+			for n := range 20 {
+				now := time.Now()
+				q := &Request{Service: "s", Workspace: fmt.Sprint("w", i%5), Priority: i % 4, Start: now,
+					Objective: now.Add(20 * time.Millisecond), Deadline: now.Add(100 * time.Millisecond)}
+				for d := c.Decide(q, full(9, 9)); d.Action == Wait; d = c.Decide(q, full(9, 9)) {
+					select {
+					case <-q.Woken():
+					case <-time.After(min(d.Wait, 2*time.Millisecond)):
+					}
+					if n%3 == 0 {
+						break
+					}
+				}
+				c.Leave(q)
+				c.RecordRun("s", run)
+				c.RecordRefusal("s", "b0")
+				c.Choose("s", full(9, 9))
+				c.Expire()
+			}
+		})
+	}
+	wg.Wait()
+	is.Equal(c.Waiting(), 0)
+	is.Equal(len(c.service("s").queue), 0)
+}
