memory: accounts that leave as much free as they hold

A large account could take a whole budget and leave nothing for small ones. An account that is an owner by itself may hold at most as much as remains free, as owners do.

--- a/gateway/memory/memory.go
+++ b/gateway/memory/memory.go
@@ -13,8 +13,9 @@
 
 // Budget is a limit on the bytes that are held at once. It is safe for concurrent use.
 //
-// An owner, such as a backend service, may hold at most as much as remains free. So one
-// owner gets half of the budget, and each further one finds half of the rest.
+// An owner, such as a backend service or a single large account, may hold at most as much as
+// remains free. So one owner gets half of the budget, and each further one finds half of the
+// rest.
 type Budget struct {
 	limit int64 // bytes; 0: no limit
 
@@ -35,19 +36,35 @@
 	return b.used
 }
 
-// reserve takes n bytes for an owner; the owner "" may use the whole budget. It returns
-// ErrFull if there is no room for them.
-func (b *Budget) reserve(owner string, n int64) error {
+// reserve takes n bytes for an account. It returns ErrFull if there is no room for them.
+func (b *Budget) reserve(a *Account, n int64) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	used, held := b.used+n, b.byOwner[owner]+n
-	if b.limit > 0 && (used > b.limit || owner != "" && held > b.limit-used) {
+	if b.missing(a, n) > 0 {
 		return ErrFull
 	}
-	b.used, b.byOwner[owner] = used, held
+	b.used += n
+	b.byOwner[a.owner] += n
 	return nil
 }
 
+// missing returns how many bytes other accounts must release before an account may hold n
+// more; 0 if it may hold them now. b.mu must be held.
+func (b *Budget) missing(a *Account, n int64) int64 {
+	if b.limit <= 0 {
+		return 0
+	}
+	free := b.limit - b.used - n
+	var held int64 // that must remain free
+	switch {
+	case a.own:
+		held = a.counted + n
+	case a.owner != "":
+		held = b.byOwner[a.owner] + n
+	}
+	return max(held-free, 0)
+}
+
 // release returns n bytes of an owner.
 func (b *Budget) release(owner string, n int64) {
 	b.mu.Lock()
@@ -64,6 +81,7 @@
 type Account struct {
 	budget  *Budget
 	owner   string
+	own     bool  // the account is an owner by itself
 	free    int64 // bytes that are not counted
 	size    int64 // bytes that are held
 	counted int64 // bytes of these that the budget counts
@@ -76,6 +94,12 @@
 	return Account{budget: b, owner: owner, free: free}
 }
 
+// OpenOwn returns an account like Open that is an owner by itself: it may hold at most as
+// much as remains free.
+func (b *Budget) OpenOwn(free int64) Account {
+	return Account{budget: b, own: true, free: free}
+}
+
 // Size returns how many bytes the account holds.
 func (a *Account) Size() int64 { return a.size }
 
@@ -89,7 +113,7 @@
 	counted := max(size-a.free, 0)
 	switch more := counted - a.counted; {
 	case more > 0:
-		if err := a.budget.reserve(a.owner, more); err != nil {
+		if err := a.budget.reserve(a, more); err != nil {
 			return err
 		}
 	case more < 0:
@@ -103,6 +127,24 @@
 // them.
 func (a *Account) Grow(n int64) error { return a.Resize(a.size + n) }
 
+// Counted returns how many bytes of the budget the account holds.
+func (a *Account) Counted() int64 { return a.counted }
+
+// Missing returns how many bytes other accounts must release before this one may hold size
+// bytes; 0 if it may now.
+func (a *Account) Missing(size int64) int64 {
+	if a.budget == nil {
+		return 0
+	}
+	more := max(size-a.free, 0) - a.counted
+	if more <= 0 {
+		return 0
+	}
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	return a.budget.missing(a, more)
+}
+
 // Close returns all that the account holds.
 func (a *Account) Close() {
 	if a.counted > 0 {
--- a/gateway/memory/memory_test.go
+++ b/gateway/memory/memory_test.go
@@ -29,6 +29,25 @@
 	is.True(b.Used() <= 1000)
 }
 
+// Load pattern: accounts that grow until the budget is full. Guards against large ones that
+// leave no room for small ones.
+func TestAccount_OwnLeavesRoomForSmaller(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(1000)
+	large, second := b.OpenOwn(0), b.OpenOwn(0)
+	is.NoErr(large.Grow(500))
+	is.Equal(large.Missing(501), int64(2)) // it would hold 501, and 499 would be free
+	is.True(errors.Is(large.Grow(1), ErrFull))
+	is.NoErr(second.Grow(250))
+	is.True(errors.Is(second.Grow(1), ErrFull))
+	small := b.OpenOwn(0)
+	is.NoErr(small.Grow(100))
+	is.Equal(b.Used(), int64(850))
+	large.Close()
+	is.Equal(second.Missing(251), int64(0))
+	is.NoErr(second.Grow(1))
+}
+
 func TestAccount_CountsBeyondWhatIsFree(t *testing.T) {
 	is := is.New(t)
 	b := NewBudget(100)
