ingress, clientlimit: count bodies as they arrive, evict stalled ones

Seven callers that announced 4 MiB and stopped short filled the memory for bodies until their deadline, and ordinary bodies above 4 KiB were refused (body_memory): a body of known length was allocated and counted in full before its first byte. The buffer now doubles as the body arrives and its size is what counts. A body may take as much as remains free, and one that finds no room evicts bodies without progress for 500 ms; their requests end with 408 (body_stalled). A body whose length exceeds the limit gets 413 at once, and trailers are dropped.

TestHandlerRejectsBodiesThatExceedMemory had a budget in which one of its bodies would not leave as much free as it takes, so it has a larger one for each framing, and a frozen clock so that the slow body does not stall. The new tests fail with the buffer allocated in full, without eviction, and without the rule on what remains free.

--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"cassialatch.dev/gateway/cachescan"
 	"cassialatch.dev/gateway/call"
 	"cassialatch.dev/gateway/catalog"
+	"cassialatch.dev/gateway/clientlimit"
 	"cassialatch.dev/gateway/directory"
 	"cassialatch.dev/gateway/eventlog"
 	"cassialatch.dev/gateway/health"
@@ -146,7 +147,7 @@
 		FleetSize:       d.peers.FleetSize,
 		Recorder:        d,
 		Settings:        ingress.Settings{Zone: s.Zone, KeyLease: s.KeyLease, ConfigLag: s.ConfigLag},
-		Bodies:          memory.NewBudget(int64(float64(s.MemoryBytes) * bodyMemoryRatio)),
+		Bodies:          clientlimit.NewBodies(int64(float64(s.MemoryBytes)*bodyMemoryRatio), time.Now, d.clientClosed),
 		Responses:       memory.NewBudget(int64(float64(s.MemoryBytes) * responseMemoryRatio)),
 		Draining:        d.drainTimeLeft,
 		TriggerExchange: triggerExchange,
@@ -209,6 +210,11 @@
 	}
 }
 
+// clientClosed counts a caller's connection that a limit closes.
+func (d *Daemon) clientClosed(cause clientlimit.Cause) {
+	d.metrics.Count("clients_closed_" + string(cause))
+}
+
 // countDial counts an attempt to connect to a backend server.
 func (d *Daemon) countDial(err error) {
 	if err != nil {
--- a/gateway/ingress/body.go
+++ b/gateway/ingress/body.go
@@ -3,83 +3,108 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"os"
 	"time"
 
+	"cassialatch.dev/gateway/clientlimit"
 	"cassialatch.dev/gateway/memory"
 )
 
 // uncountedBodyBytes is the size up to which a body is not counted, so that large
 // bodies can't cause the rejection of small ones. The total of what is not counted
-// is limited by the number of connections.
+// is limited by the number of connections. It is also the first size of the buffer.
 const uncountedBodyBytes = 4 << 10
 
 // uncountedResponseBytes is the same for what is held of a response: its head, and the
 // buffer of its body or of the events that have arrived in part.
 const uncountedResponseBytes = 16 << 10
 
-// readKnownLength reads a body of n bytes.
-func readKnownLength(src io.Reader, n int64, m *memory.Account) ([]byte, error) {
-	if err := m.Grow(n); err != nil {
-		return nil, err
-	}
-	body := make([]byte, n)
-	_, err := io.ReadFull(src, body)
-	return body, err
-}
-
-// countingReader counts the bytes that it reads as part of a body.
-type countingReader struct {
-	src    io.Reader
-	memory *memory.Account
-}
-
-// Read implements io.Reader. It returns memory.ErrFull for bytes that exceed the
-// memory for bodies.
-func (r *countingReader) Read(p []byte) (int, error) {
-	n, err := r.src.Read(p)
-	if memoryErr := r.memory.Grow(int64(n)); memoryErr != nil {
-		return 0, memoryErr
-	}
-	return n, err
-}
-
 // readBody reads the request body, so that it can be sent more than once. A limit
 // of 0 means that the size is not limited.
 func (q *request) readBody(w http.ResponseWriter, r *http.Request, limit int64) *rejection {
 	if r.ContentLength == 0 {
 		return nil
 	}
+	if limit > 0 && r.ContentLength > limit {
+		return rejectBody(w, &http.MaxBytesError{Limit: limit})
+	}
 	conn := http.NewResponseController(w)
 	// An error means that the connection has no deadlines; the request is then
 	// not limited in time before its body was read.
 	_ = conn.SetReadDeadline(q.rec.Start.Add(q.deadline))
+	q.rec.body = q.h.Bodies.Open(uncountedBodyBytes, conn)
 	src := io.Reader(r.Body)
 	if limit > 0 {
 		src = http.MaxBytesReader(w, r.Body, limit)
 	}
 	var err error
-	if r.ContentLength > 0 && (limit <= 0 || r.ContentLength <= limit) {
-		q.body, err = readKnownLength(src, r.ContentLength, &q.rec.body)
-	} else {
-		q.body, err = io.ReadAll(&countingReader{src: src, memory: &q.rec.body})
+	q.body, err = bufferBody(src, r.ContentLength, limit, &q.rec.body)
+	if err == nil {
+		err = q.rec.body.Complete()
 	}
 	if err != nil {
+		if q.rec.body.Evicted() {
+			err = &clientlimit.ClosedError{Cause: clientlimit.CauseBodyStalled}
+		}
 		return rejectBody(w, err)
 	}
 	_ = conn.SetReadDeadline(time.Time{})
+	r.Trailer = nil // may be many lines, which would be held as long as the request
 	return nil
 }
 
+// bufferBody reads a body of n bytes, or of unknown length if n is negative. The buffer
+// grows as the body arrives, so that a caller which announces a large body takes no more
+// memory than it sends. The limit is that of the size, 0 if there is none.
+func bufferBody(src io.Reader, n, limit int64, held *clientlimit.Body) ([]byte, error) {
+	largest := n
+	if n < 0 {
+		largest = math.MaxInt64
+		if limit > 0 {
+			largest = limit + 1 // a read at the limit returns the end of the body
+		}
+	}
+	size := min(uncountedBodyBytes, largest)
+	if err := held.Resize(size); err != nil {
+		return nil, err
+	}
+	body := make([]byte, 0, size)
+	for int64(len(body)) != n {
+		if len(body) == cap(body) {
+			size = min(2*size, largest)
+			if err := held.Resize(size); err != nil {
+				return nil, err
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		read, err := src.Read(body[len(body):size])
+		body = body[:len(body)+read]
+		if read > 0 {
+			held.Progress()
+		}
+		switch {
+		case errors.Is(err, io.EOF) && n < 0:
+			return body, nil
+		case err != nil && int64(len(body)) != n:
+			return nil, err
+		}
+	}
+	return body, nil
+}
+
 // rejectBody returns the rejection of a request whose body could not be read. The
 // rest of the body is not waited for, so the connection can't be reused.
 func rejectBody(w http.ResponseWriter, err error) *rejection {
 	w.Header().Set("Connection", "close")
 	var tooLarge *http.MaxBytesError
+	var closed *clientlimit.ClosedError
 	switch {
 	case errors.As(err, &tooLarge):
 		return refuse(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge)
+	case errors.As(err, &closed):
+		return refuse(http.StatusRequestTimeout, ReasonBodyStalled)
 	case errors.Is(err, memory.ErrFull):
 		return notRun(ReasonBodyMemory, overloadRetryAfter)
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/gateway/ingress/handler.go
+++ b/gateway/ingress/handler.go
@@ -22,6 +22,7 @@
 	"cassialatch.dev/gateway/cacheindex"
 	"cassialatch.dev/gateway/call"
 	"cassialatch.dev/gateway/catalog"
+	"cassialatch.dev/gateway/clientlimit"
 	"cassialatch.dev/gateway/health"
 	"cassialatch.dev/gateway/load"
 	"cassialatch.dev/gateway/memory"
@@ -76,14 +77,13 @@
 
 	// Bodies is the memory for the request bodies that are held at once, and Responses
 	// that for what is held of the responses of servers.
-	Bodies    *memory.Budget
+	Bodies    *clientlimit.Bodies
 	Responses *memory.Budget
 }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	rec := &Record{Start: time.Now(), Host: r.Host, Path: r.URL.Path}
-	rec.body = h.Bodies.Open("", uncountedBodyBytes)
 	defer func() { h.end(w, rec, recover()) }()
 	q, reject := h.admit(w, r, rec)
 	w = &connHeaderWriter{ResponseWriter: w, h: h}
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cassialatch.dev/gateway/cacheindex"
+	"cassialatch.dev/gateway/clientlimit"
 	"cassialatch.dev/gateway/memory"
 	"cassialatch.dev/gateway/placement"
 	"cassialatch.dev/gateway/upstream"
@@ -42,6 +43,7 @@
 	ReasonBodyTooLarge     Reason = "body_too_large"
 	ReasonBodyUnreadable   Reason = "body_broken"
 	ReasonBodyTimeout      Reason = "body_timeout"    // the deadline came before the whole body
+	ReasonBodyStalled      Reason = "body_stalled"    // the body made no progress while others needed its memory
 	ReasonBodyMemory       Reason = "body_memory"     // the bodies of other requests take the memory
 	ReasonResponseMemory   Reason = "response_memory" // the responses to other requests take the memory
 	ReasonCrashesServers   Reason = "crashes_servers"
@@ -108,8 +110,8 @@
 	CrashParts    []cacheindex.PartKey // shared parts of the prompt, in order, if a connection broke while a server ran the request
 	Panic         *Panic               // nil unless the handler panicked
 
-	body     memory.Account // the request's body
-	response memory.Account // what is held of responses
+	body     clientlimit.Body // the request's body
+	response memory.Account   // what is held of responses
 }
 
 // Panic describes an unexpected panic of the handler.
