ingress: notice the progress of a body within a chunk

net/http returns from a read of a chunked body only when it has read the whole chunk or the whole buffer, so a large chunk that arrives slowly counted as stalled. One read is limited to 1 KiB.

TestHandlerEvictsStalledBodies depended on when the last bytes were read; it now waits until the handler has noticed them. It fails if the bodies are evicted in any other order.

--- a/gateway/ingress/body.go
+++ b/gateway/ingress/body.go
@@ -21,6 +21,10 @@
 // buffer of its body or of the events that have arrived in part.
 const uncountedResponseBytes = 16 << 10
 
+// maxChunkRead limits one read of a chunked body: net/http returns from it only when it has
+// read that much, or the whole chunk, so progress would be noticed late.
+const maxChunkRead = 1 << 10
+
 // readBody reads the request body, so that it can be sent more than once. A limit
 // of 0 means that the size is not limited.
 func (q *request) readBody(w http.ResponseWriter, r *http.Request, limit int64) *rejection {
@@ -79,7 +83,11 @@
 			}
 			body = append(make([]byte, 0, size), body...)
 		}
-		read, err := src.Read(body[len(body):size])
+		room := body[len(body):size]
+		if n < 0 {
+			room = room[:min(len(room), maxChunkRead)]
+		}
+		read, err := src.Read(room)
 		body = body[:len(body)+read]
 		if read > 0 {
 			held.Progress()
--- a/gateway/ingress/body_test.go
+++ b/gateway/ingress/body_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -120,7 +121,7 @@
 	for range callers {
 		f.dialRaw(t).sendTo("/slow/x", fmt.Sprintf("Content-Length: %d", announced), strings.Repeat("x", sent))
 	}
-	const counted = 4 << 10 // of a buffer of 8 KiB
+	const counted = 4 << 10                 // of a buffer of 8 KiB
 	end := time.Now().Add(20 * time.Second) // only ends a hang
 	for f.handler.Bodies.Used() < callers*counted && time.Now().Before(end) {
 		time.Sleep(time.Millisecond)
@@ -133,6 +134,38 @@
 	is.Equal(b.runs.Load(), int32(1))
 }
 
+// arrivals counts the bytes that handlers have read of bodies and taken note of.
+type arrivals struct{ n atomic.Int64 }
+
+// count returns a handler like h whose bodies are counted.
+func (a *arrivals) count(h http.Handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		r.Body = &countedBody{ReadCloser: r.Body, arrivals: a}
+		h.ServeHTTP(w, r)
+	}
+}
+
+// wait returns when n bytes have arrived.
+func (a *arrivals) wait(n int64) {
+	for a.n.Load() < n {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+type countedBody struct {
+	io.ReadCloser
+	arrivals *arrivals
+	last     int // result of the last read
+}
+
+// Read counts the result of the read before, which its caller has handled by now.
+func (b *countedBody) Read(p []byte) (int, error) {
+	b.arrivals.n.Add(int64(b.last))
+	var err error
+	b.last, err = b.ReadCloser.Read(p)
+	return b.last, err
+}
+
 // Load pattern: bodies of legal size that stop just before the end fill the memory for
 // bodies. Guards against ordinary bodies being refused until the deadline of those; against
 // eviction of a body that makes progress; and against an evicted request that is passed on.
@@ -145,26 +178,26 @@
 			var clock atomic.Int64
 			start := time.Now()
 			f.handler.Bodies = newBodies(256<<10, func() time.Time { return start.Add(time.Duration(clock.Load())) })
+			var arrived arrivals
+			f.Server = httptest.NewServer(arrived.count(f.handler))
+			t.Cleanup(f.Close)
 			const size = 64 << 10
 			framing, body := fmt.Sprintf("Content-Length: %d", size), strings.Repeat("x", size)
 			if chunked {
-				framing, body = "Transfer-Encoding: chunked", fmt.Sprintf("%x\r\n%s", size, body)
+				framing, body = "Transfer-Encoding: chunked", fmt.Sprintf("%x\r\n%s\r\n1", size-1, body[1:])
 			}
 			var stalled []*rawCaller
 			for range 2 {
 				c := f.dialRaw(t)
 				c.sendTo("/slow/x", framing, body[:len(body)-1])
 				stalled = append(stalled, c)
-				for f.handler.Bodies.Used() < int64(len(stalled))*(size-uncountedBodyBytes) {
-					time.Sleep(time.Millisecond)
-				}
+				arrived.wait(int64(len(stalled)) * (size - 1))
+				clock.Add(int64(time.Millisecond)) // the first one stalls for longest
 			}
-			clock.Store(int64(time.Second))
+			clock.Add(int64(time.Second))
 			moving := f.dialRaw(t)
 			moving.sendTo("/slow/x", fmt.Sprintf("Content-Length: %d", size), strings.Repeat("x", size-1))
-			for f.handler.Bodies.Used() < 2*(size-uncountedBodyBytes) {
-				time.Sleep(time.Millisecond)
-			}
+			arrived.wait(3 * (size - 1))
 
 			other := f.dialRaw(t)
 			other.sendTo("/slow/x", fmt.Sprintf("Content-Length: %d", size), strings.Repeat("x", size))
