ingress: deadlines for responses of our own and for what is left of bodies

A caller that stopped within the body of a rejected request, or that sent requests ahead and read no responses, held its connection and a request until it left: net/http reads up to 256 KiB of the rest of a body before it sends the response, and writes what it has buffered after the handler has returned, both without a deadline. The server now has a write timeout of 5 s, which is removed for admitted requests; when the handler returns, the rest of the response may be written until 1 s after the deadline (5 s if the request was not admitted), and the rest of the body be read for 1 s. A connection whose body arrives by then is used again as before.

--- a/gateway/ingress/body.go
+++ b/gateway/ingress/body.go
@@ -54,6 +54,7 @@
 		}
 		return rejectBody(w, err)
 	}
+	q.rec.bodyRead = true
 	_ = conn.SetReadDeadline(time.Time{})
 	r.Trailer = nil // may be many lines, which would be held as long as the request
 	return nil
--- a/gateway/ingress/handler.go
+++ b/gateway/ingress/handler.go
@@ -84,14 +84,15 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	rec := &Record{Start: time.Now(), Host: r.Host, Path: r.URL.Path}
-	defer func() { h.end(w, rec, recover()) }()
+	defer func() { h.end(w, r, rec, recover()) }()
 	q, reject := h.admit(w, r, rec)
 	w = &connHeaderWriter{ResponseWriter: w, h: h}
 	if reject != nil {
 		reject.write(w, rec)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), rec.Start.Add(q.deadline))
+	rec.deadline = rec.Start.Add(q.deadline)
+	ctx, cancel := context.WithDeadline(r.Context(), rec.deadline)
 	defer cancel()
 	defer limitWrites(ctx, w)()
 	q.run(ctx, w)
@@ -107,7 +108,8 @@
 // was recovered from a panic of the handler; nil if there was none. It panics
 // with http.ErrAbortHandler if the connection must be closed, since the caller
 // would otherwise take the response for complete.
-func (h *Handler) end(w http.ResponseWriter, rec *Record, panicked any) {
+func (h *Handler) end(w http.ResponseWriter, r *http.Request, rec *Record, panicked any) {
+	defer limitEnd(w, r, rec)
 	abort := panicked != nil
 	if abort && panicked != http.ErrAbortHandler {
 		abort = !rec.endPanicked(w, panicked)
--- a/gateway/ingress/record.go
+++ b/gateway/ingress/record.go
@@ -110,6 +110,8 @@
 	CrashParts    []cacheindex.PartKey // shared parts of the prompt, in order, if a connection broke while a server ran the request
 	Panic         *Panic               // nil unless the handler panicked
 
+	deadline time.Time        // of the request; zero if it was not admitted
+	bodyRead bool             // the body was read to its end
 	body     clientlimit.Body // the request's body
 	response memory.Account   // what is held of responses
 }
--- a/gateway/ingress/server.go
+++ b/gateway/ingress/server.go
@@ -58,6 +58,7 @@
 		Handler:           h,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout,
+		WriteTimeout:      ownWriteTimeout, // removed for requests that are admitted
 		ConnState:         s.connState,
 	}
 	return s
