clientlimit, ingress: limits on open connections and on the memory of request heads

The number of callers' connections had no limit, so a large group of silent or slow callers could use up the descriptors or the memory; and heads of many short lines take 15 times their size in net/http, while they arrive and as long as the request lasts, and were not counted.

A Table holds the connections of a listener. At the limit on their number, a new connection takes the place of one that waits for the rest of a head or body, or of an idle one. It is evicted by ending its reads, so that a request that net/http has just read is served; one whose body is being read ends with 408. Heads are charged while they arrive, until the request ends, in a budget that all share; the first 16 KiB are free. A head that finds no room or has more than 512 lines closes its connection without a response. Heads that are pipelined may already be in the buffer of net/http; they are charged the most that fits there, and their true charge when they are parsed.

No deployment has these limits yet; package daemon will set them.

--- a/gateway/clientlimit/bodies.go
+++ b/gateway/clientlimit/bodies.go
@@ -10,7 +10,7 @@
 )
 
 // stallTime is how long a body must have made no progress before it may be evicted for
-// another one.
+// another one. Connections that wait or are idle for less are evicted last.
 const stallTime = 500 * time.Millisecond
 
 // Bodies is the memory for the request bodies that are held at once. A body may grow only
--- a/gateway/ingress/body.go
+++ b/gateway/ingress/body.go
@@ -38,6 +38,8 @@
 	// An error means that the connection has no deadlines; the request is then
 	// not limited in time before its body was read.
 	_ = conn.SetReadDeadline(q.rec.Start.Add(q.deadline))
+	client := clientlimit.FromContext(r.Context())
+	client.BeginBody()
 	q.rec.body = q.h.Bodies.Open(uncountedBodyBytes, conn)
 	src := io.Reader(r.Body)
 	if limit > 0 {
@@ -46,7 +48,7 @@
 	var err error
 	q.body, err = bufferBody(src, r.ContentLength, limit, &q.rec.body)
 	if err == nil {
-		err = q.rec.body.Complete()
+		err = errors.Join(q.rec.body.Complete(), client.EndBody())
 	}
 	if err != nil {
 		if q.rec.body.Evicted() {
--- a/gateway/ingress/body_test.go
+++ b/gateway/ingress/body_test.go
@@ -8,11 +8,15 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"cassialatch.dev/gateway/clientlimit"
+	"cassialatch.dev/gateway/memory"
 )
 
 // rawCaller is a caller that sends requests byte by byte.
@@ -23,8 +27,11 @@
 }
 
 // dialRaw connects a caller to the fixture's handler.
-func (f *fixture) dialRaw(t *testing.T) *rawCaller {
-	c, err := net.Dial("tcp4", f.Listener.Addr().String())
+func (f *fixture) dialRaw(t *testing.T) *rawCaller { return dialRaw(t, f.Listener) }
+
+// dialRaw connects a caller to a listener.
+func dialRaw(t *testing.T, l net.Listener) *rawCaller {
+	c, err := net.Dial("tcp4", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -219,6 +226,37 @@
 	}
 }
 
+// Load pattern: callers stop within a body until no more connections are permitted. Guards
+// against an evicted request that is passed on, or whose caller is not told that it was not.
+func TestServer_EvictedBodyIsNotRun(t *testing.T) {
+	is := is.New(t)
+	b := startBackend(t, respondOK)
+	f := newFixture(t, b)
+	clients := clientlimit.NewTable(clientlimit.Options{
+		MaxConns: 1, Heads: memory.NewBudget(0), Now: time.Now, OnClose: func(clientlimit.Cause) {},
+	})
+	s := NewServer(f.handler)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	var arrived arrivals
+	s.http.Handler = arrived.count(s.http.Handler)
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = s.Serve(clients.Listener(l)) })
+	t.Cleanup(func() {
+		s.Stop(0)
+		wg.Wait()
+	})
+	stalled := dialRaw(t, l)
+	stalled.sendTo("/slow/x", "Content-Length: 5", "body")
+	arrived.wait(4)
+	ordinary := dialRaw(t, l)
+	ordinary.send("Content-Length: 4", "body")
+	is.Equal(ordinary.receive(), http.StatusOK)
+	is.Equal(stalled.receive(), http.StatusRequestTimeout)
+	is.Equal(b.runs.Load(), int32(1))
+	is.Equal(f.records.with(ReasonBodyStalled)[0].Outcome, OutcomeNotRun)
+}
+
 // Load pattern: callers stop within a body and keep the connection open. Guards
 // against requests that stay in flight without an answer after their deadline.
 func TestHandlerRejectsBodyThatIsNotReceivedInTime(t *testing.T) {
--- a/gateway/ingress/server.go
+++ b/gateway/ingress/server.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"cassialatch.dev/gateway/clientlimit"
 )
 
 // Limits that apply before a request is matched to a route. They are constants, and
@@ -55,7 +57,8 @@
 	ctx, s.cancel = context.WithCancelCause(context.Background())
 	s.http = &http.Server{
 		BaseContext:       func(net.Listener) context.Context { return ctx },
-		Handler:           h,
+		ConnContext:       clientlimit.ConnContext,
+		Handler:           clientlimit.Handler(h),
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout,
 		WriteTimeout:      ownWriteTimeout, // removed for requests that are admitted
@@ -187,6 +190,7 @@
 
 // connState tracks which connections are idle and which have a request in flight.
 func (s *Server) connState(c net.Conn, state http.ConnState) {
+	clientlimit.ConnState(c, state)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	idle := s.idle[c]
