daemon, cassialatchgw: limits on callers; readiness, directory, control and metrics hardened

The limits of package clientlimit now apply: connections of the frontend (a quarter of the memory at 32 KiB each, at most half of the descriptors that are not for files, never below 64), heads (10 % of the memory) and bodies (15 %, as before). limits.maxFds of the settings is read; without it, or with 0, no limit follows from descriptors. The flags -max-connections, -max-body-memory and -max-head-memory replace what is derived.

The other listeners had no limit on connections, on the time of a body or a response, and a megabyte for a head: a caller that sent requests ahead and did not read held its connection until it left. They get 5 s for a request and a response, 16 KiB of header, and 64 connections (256 for the directory).

A connection whose last response was sent, and which net/http keeps for 500 ms so that the caller can read it, is now closed first: 64 callers with heads that are too large kept an endpoint's ordinary callers out for that time. What is left of the body of a rejected request counts as waiting.

Metrics client_connections, head_memory_bytes and clients_closed_*; event client_closed, at most one line in 10 s. The tests fail without the table, the timeouts and the interval.

--- a/cassialatchgw/main.go
+++ b/cassialatchgw/main.go
@@ -19,8 +19,47 @@
 	"cassialatch.dev/platform"
 )
 
+// limits are the limits on callers that the command line sets; 0: derived from the
+// settings.
+type limits struct {
+	connections int   // open connections
+	bodyMemory  int64 // bytes of request bodies
+	headMemory  int64 // bytes of request heads
+}
+
+// limitError is returned for a limit that is negative.
+type limitError struct{ flag string }
+
+// Error implements error.
+func (e *limitError) Error() string { return "cassialatchgw: -" + e.flag + " is negative" }
+
+// apply sets the limits in the settings.
+func (l *limits) apply(s *daemon.Settings) error {
+	switch {
+	case l.connections < 0:
+		return &limitError{flagMaxConnections}
+	case l.bodyMemory < 0:
+		return &limitError{flagMaxBodyMemory}
+	case l.headMemory < 0:
+		return &limitError{flagMaxHeadMemory}
+	}
+	s.MaxConnections, s.MaxBodyMemory, s.MaxHeadMemory = l.connections, l.bodyMemory, l.headMemory
+	return nil
+}
+
+// Names of the flags for limits.
+const (
+	flagMaxConnections = "max-connections"
+	flagMaxBodyMemory  = "max-body-memory"
+	flagMaxHeadMemory  = "max-head-memory"
+)
+
 func main() {
 	metrics := flag.String("metrics", "", "port of the metrics endpoint; none if empty")
+	var callers limits
+	flag.IntVar(&callers.connections, flagMaxConnections, 0, "callers' open connections; 0: derived from the settings")
+	flag.Int64Var(&callers.bodyMemory, flagMaxBodyMemory, 0, "bytes of request bodies that are held at once; 0: derived from the settings")
+	flag.Int64Var(&callers.headMemory, flagMaxHeadMemory, 0, "bytes of request heads that are held at once; 0: derived from the settings")
 	// Signals are caught before anything else, so that a signal during the start
 	// does not kill the process.
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -28,7 +67,7 @@
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	flag.Parse()
-	if err := run(ctx, hup, *metrics); err != nil {
+	if err := run(ctx, hup, *metrics, &callers); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
@@ -36,7 +75,7 @@
 
 // run runs the daemon until the context ends and it has drained. metricsPort is
 // empty if metrics are not served.
-func run(ctx context.Context, hup <-chan os.Signal, metricsPort string) error {
+func run(ctx context.Context, hup <-chan os.Signal, metricsPort string, callers *limits) error {
 	s, err := platform.ReadSettings()
 	if err != nil {
 		return err
@@ -44,6 +83,9 @@
 	if metricsPort != "" {
 		s.Metrics = net.JoinHostPort(s.IP, metricsPort)
 	}
+	if err := callers.apply(&s.Settings); err != nil {
+		return err
+	}
 	d := daemon.New(s.Settings, daemon.Adapter{
 		Dialect:          platform.Dialect{},
 		Source:           platform.NewSource(s.StoreAddress, s.StoreValueBytes, boottime.Now),
--- a/gateway/clientlimit/conn.go
+++ b/gateway/clientlimit/conn.go
@@ -15,13 +15,15 @@
 	stateHead                 // for the rest of a request head
 	stateBody                 // for the rest of a request body
 	stateRequest              // for the response: a head was read, and no body is waited for
+	stateClosing              // for the caller, which net/http lets receive the last response
 )
 
 // class is the retention class of a connection: those of a lower one are evicted first.
 type class int
 
 const (
-	waitingLong class = iota // for the rest of a head or body, for at least stallTime
+	closing     class = iota
+	waitingLong       // for the rest of a head or body, for at least stallTime
 	idleLong
 	recent // waiting or idle for a shorter time
 	neverEvicted
@@ -64,6 +66,8 @@
 	switch {
 	case c.evicted || c.state == stateRequest:
 		return neverEvicted
+	case c.state == stateClosing:
+		return closing
 	case now.Sub(c.since) < stallTime:
 		return recent
 	case c.state == stateIdle:
@@ -74,6 +78,11 @@
 
 // evict ends the reads of the connection. table.mu must be held.
 func (c *Conn) evict() {
+	if c.state == stateClosing {
+		c.Conn.Close() // nothing reads
+		c.table.removeLocked(c)
+		return
+	}
 	c.evicted, c.cause = true, CauseConnections
 	c.table.evicting++
 	// It fails only if the connection is closed already.
@@ -176,6 +185,12 @@
 // CloseWrite closes the sending side, which net/http does before it closes a connection
 // whose caller still sends.
 func (c *Conn) CloseWrite() error {
+	c.table.mu.Lock()
+	if !c.evicted {
+		c.state, c.since = stateClosing, c.table.options.Now()
+		c.table.trim()
+	}
+	c.table.mu.Unlock()
 	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return tcp.CloseWrite()
 	}
@@ -209,8 +224,8 @@
 	c.table.trim()
 }
 
-// BeginBody records that the body of the request is being read, so that the connection may
-// be evicted. It does nothing if c is nil.
+// BeginBody records that the rest of the request body is waited for, so that the connection
+// may be evicted. It does nothing if c is nil.
 func (c *Conn) BeginBody() {
 	if c == nil {
 		return
--- a/gateway/clientlimit/table.go
+++ b/gateway/clientlimit/table.go
@@ -29,11 +29,11 @@
 }
 
 // Table holds the open connections of an address. At the limit on their number, a new
-// connection takes the place of an existing one: first of one that has waited for the rest
-// of a request for at least 500 ms, then of one that has been idle for as long, then of one
-// that has waited or been idle for a shorter time; of these, the one with the longest time. A
-// connection whose request was read is not evicted; if there are only such, the new one is
-// closed.
+// connection takes the place of an existing one: first of one whose last response was sent
+// and that is closed soon, then of one that has waited for the rest of a request for at least
+// 500 ms, then of one that has been idle for as long, then of one that has waited or been
+// idle for a shorter time; of these, the one with the longest time. A connection whose
+// request was read is not evicted; if there are only such, the new one is closed.
 type Table struct {
 	options Options
 	closed  chan struct{} // receives a value when an evicted connection was closed
@@ -163,6 +163,11 @@
 func (t *Table) remove(c *Conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.removeLocked(c)
+}
+
+// removeLocked is remove with t.mu held.
+func (t *Table) removeLocked(c *Conn) {
 	if c.index < 0 {
 		return
 	}
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -66,12 +66,6 @@
 	// memoryLimitRatio is the part of Settings.MemoryBytes that is set as the soft
 	// memory limit of the Go runtime.
 	memoryLimitRatio = 0.8
-	// bodyMemoryRatio is the part of Settings.MemoryBytes for callers' request
-	// bodies. A body that is being sent takes twice its size.
-	bodyMemoryRatio = 0.15
-	// responseMemoryRatio is the part of Settings.MemoryBytes for what is held of the
-	// responses of servers.
-	responseMemoryRatio = 0.15
 )
 
 // Daemon is a gateway process: it serves callers and exchanges its state with
@@ -97,6 +91,9 @@
 	metrics    *metrics.Registry
 	handler    *ingress.Handler
 	frontend   *ingress.Server
+	clients    *clientlimit.Table // connections of the frontend
+	heads      *memory.Budget     // request heads, of all endpoints
+	closings   closings
 	auxServers []*http.Server
 
 	drainTimes atomic.Pointer[drainTimes] // nil: not draining
@@ -134,6 +131,9 @@
 	triggerExchange := func() { d.exchange.Trigger() } // d.exchange is set by Run
 	d.scanner = cachescan.New(a.Lister, c, d.cacheIndex, d.peers, d.self, triggerExchange, d.log)
 	d.reader = reader.New(a.Source, c, d.peers, boottime.Now, readerLog{d.log, d.metrics})
+	heads, bodies, responses := d.newBudgets()
+	d.heads = heads
+	d.clients = d.clientTable(frontendEndpoint, s.maxConnections())
 	d.handler = &ingress.Handler{
 		Dialect:         a.Dialect,
 		Catalog:         c,
@@ -147,8 +147,8 @@
 		FleetSize:       d.peers.FleetSize,
 		Recorder:        d,
 		Settings:        ingress.Settings{Zone: s.Zone, KeyLease: s.KeyLease, ConfigLag: s.ConfigLag},
-		Bodies:          clientlimit.NewBodies(int64(float64(s.MemoryBytes)*bodyMemoryRatio), time.Now, d.clientClosed),
-		Responses:       memory.NewBudget(int64(float64(s.MemoryBytes) * responseMemoryRatio)),
+		Bodies:          bodies,
+		Responses:       responses,
 		Draining:        d.drainTimeLeft,
 		TriggerExchange: triggerExchange,
 		CachesKnown:     d.scanner.Done(),
@@ -210,11 +210,6 @@
 	}
 }
 
-// clientClosed counts a caller's connection that a limit closes.
-func (d *Daemon) clientClosed(cause clientlimit.Cause) {
-	d.metrics.Count("clients_closed_" + string(cause))
-}
-
 // countDial counts an attempt to connect to a backend server.
 func (d *Daemon) countDial(err error) {
 	if err != nil {
@@ -238,6 +233,8 @@
 	d.metrics.Gauge("server_connections", func() float64 { return float64(d.pool.OpenConns()) })
 	d.metrics.Gauge("body_memory_bytes", func() float64 { return float64(d.handler.Bodies.Used()) })
 	d.metrics.Gauge("response_memory_bytes", func() float64 { return float64(d.handler.Responses.Used()) })
+	d.metrics.Gauge("client_connections", func() float64 { return float64(d.clients.Open()) })
+	d.metrics.Gauge("head_memory_bytes", func() float64 { return float64(d.heads.Used()) })
 	d.metrics.Gauge("cache_news_lost", func() float64 { return float64(d.cacheIndex.DroppedUpdates()) })
 	d.metrics.Gauge("log_lines_dropped", func() float64 { return float64(d.writer.Dropped()) })
 }
--- a/gateway/daemon/listen.go
+++ b/gateway/daemon/listen.go
@@ -30,20 +30,17 @@
 	}
 	d.exchange.OnReject = d.datagramRejected
 	dir := &directory.Directory{Self: s.Frontend, Ready: d.ready, Peers: d.peers}
-	endpoints := []struct {
-		address string
-		handler http.Handler
-	}{
-		{s.Control, peers.StateHandler(d.catalog)},
-		{s.Directory, d.adapter.DirectoryHandler(dir)},
-		{s.Readiness, d.adapter.ReadinessHandler(d.ready)},
-		{s.Metrics, d.metrics},
+	endpoints := []endpoint{
+		{"control", s.Control, auxConnections, peers.StateHandler(d.catalog)},
+		{"directory", s.Directory, directoryConnections, d.adapter.DirectoryHandler(dir)},
+		{"readiness", s.Readiness, auxConnections, d.adapter.ReadinessHandler(d.ready)},
+		{"metrics", s.Metrics, auxConnections, d.metrics},
 	}
-	for _, l := range endpoints {
-		if l.address == "" {
+	for _, e := range endpoints {
+		if e.address == "" {
 			continue
 		}
-		if err := d.listen(l.address, l.handler); err != nil {
+		if err := d.listen(e); err != nil {
 			return err
 		}
 	}
@@ -51,20 +48,30 @@
 	if err != nil {
 		return err
 	}
-	go d.serve(listener, d.frontend.Serve)
+	go d.serve(listener, withTable(d.clients, d.frontend.Serve))
 	return nil
 }
 
-// listen serves an HTTP endpoint other than the frontend.
-func (d *Daemon) listen(address string, h http.Handler) error {
-	const headerTimeout, idleTimeout = 5 * time.Second, time.Minute
-	listener, err := net.Listen("tcp4", address)
+// frontendEndpoint names the frontend in the log.
+const frontendEndpoint = "frontend"
+
+// endpoint is an HTTP endpoint other than the frontend.
+type endpoint struct {
+	name     string // in the log
+	address  string // empty: not served
+	maxConns int    // open connections
+	handler  http.Handler
+}
+
+// listen serves an endpoint.
+func (d *Daemon) listen(e endpoint) error {
+	listener, err := net.Listen("tcp4", e.address)
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	server := newAuxServer(e.handler)
 	d.auxServers = append(d.auxServers, server)
-	go d.serve(listener, server.Serve)
+	go d.serve(listener, withTable(d.clientTable(e.name, e.maxConns), server.Serve))
 	return nil
 }
 
--- a/gateway/daemon/settings.go
+++ b/gateway/daemon/settings.go
@@ -16,6 +16,7 @@
 	Metrics     string   // address of the metrics; empty: not served
 	Seeds       []string // control addresses of some daemons
 	MemoryBytes int64    // memory available to the process; 0: no limit
+	MaxFiles    int      // descriptors available to the process; 0: no limit
 	Retry       RetryBudget
 	KeyLease    time.Duration // how long API keys are accepted after the last confirmation; 0: no limit
 	ConfigLag   time.Duration // within which a new configuration must be in force; 0: no limit
@@ -23,6 +24,10 @@
 	// FirstStart is set if the whole fleet starts for the first time: no daemon
 	// has any state to share, and all caches of backend servers are empty.
 	FirstStart bool
+	// Limits on callers; 0: derived from MemoryBytes and MaxFiles.
+	MaxConnections int   // open connections of the frontend
+	MaxBodyMemory  int64 // bytes of request bodies
+	MaxHeadMemory  int64 // bytes of request heads
 }
 
 // RetryBudget limits the retries of all daemons together.
--- a/gateway/eventlog/log.go
+++ b/gateway/eventlog/log.go
@@ -149,6 +149,12 @@
 	l.z.Warn().Str("event", "datagram_rejected").Str("peer", ip).Err(err).Msg("")
 }
 
+// ClientClosed logs that a limit has closed the connection of a caller to an endpoint, and how
+// many connections limits have closed since the last such line.
+func (l *Log) ClientClosed(endpoint, cause string, closed int) {
+	l.z.Warn().Str("event", "client_closed").Str("endpoint", endpoint).Str("cause", cause).Int("closed", closed).Msg("")
+}
+
 // Quarantined implements quarantine.Log. It logs that requests are refused because
 // they crash servers. Parts have the names that they have in request lines.
 func (l *Log) Quarantined(b quarantine.Ban, crashes int) {
--- a/gateway/ingress/writelimit.go
+++ b/gateway/ingress/writelimit.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"cassialatch.dev/gateway/clientlimit"
 )
 
 const (
@@ -62,4 +64,5 @@
 		readEnd = now // the rest was waited for already
 	}
 	_ = conn.SetReadDeadline(readEnd)
+	clientlimit.FromContext(r.Context()).BeginBody()
 }
