daemon: limit what the kernel receives for a caller's connection

Bytes that a process has not read yet count as its memory. A caller that sent requests ahead left some 64 KB of them on each connection (in a trial on loopback, sender's buffer not counted), so the permitted connections of a VM of 136 MB could hold 70 MB. The receive buffer is now 32 KiB where the memory of the process is limited; some 45 KB fit then, so that ordinary bodies still arrive in few round trips. The test fails without the option.

--- a/gateway/daemon/limits.go
+++ b/gateway/daemon/limits.go
@@ -24,6 +24,9 @@
 	// bodies.
 	connMemoryRatio = 0.25
 	connMemory      = 32 << 10 // bytes
+	// receiveBuffer is the size of the kernel's receive buffer of a connection. Linux doubles
+	// it for its own needs; about 45 KB of data fit. Ordinary bodies are up to 72 KB.
+	receiveBuffer = 32 << 10 // bytes
 )
 
 const (
--- a/gateway/daemon/limits_test.go
+++ b/gateway/daemon/limits_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
 
 	"cassialatch.dev/gateway/clientlimit"
 	"cassialatch.dev/gateway/eventlog"
@@ -138,6 +139,33 @@
 	})
 }
 
+// Load pattern: callers send requests ahead faster than they are handled. Guards against
+// memory of the kernel for each connection that counts as memory of the process.
+func TestListenTCP_LimitsUnreadBytes(t *testing.T) {
+	is := is.New(t)
+	d := New(Settings{Name: "d"}, Adapter{})
+	d.settings.MemoryBytes = 136 << 20
+	l, err := d.listenTCP("127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	c := dial(t, l.Addr().String())
+	accepted, err := l.Accept()
+	is.NoErr(err)
+	defer accepted.Close()
+	raw, err := accepted.(*net.TCPConn).SyscallConn()
+	is.NoErr(err)
+	var size int
+	is.NoErr(raw.Control(func(fd uintptr) {
+		size, err = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF)
+	}))
+	is.NoErr(err)
+	is.Equal(size, 2*receiveBuffer) // as Linux reports it
+	_, err = c.Write(make([]byte, 14<<10))
+	is.NoErr(err)
+	_, err = io.ReadFull(accepted, make([]byte, 14<<10))
+	is.NoErr(err)
+}
+
 // buffer is a destination of log lines.
 type buffer struct {
 	mu sync.Mutex
--- a/gateway/daemon/listen.go
+++ b/gateway/daemon/listen.go
@@ -5,8 +5,11 @@
 	"errors"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"cassialatch.dev/gateway/boottime"
 	"cassialatch.dev/gateway/directory"
 	"cassialatch.dev/gateway/peers"
@@ -44,7 +47,7 @@
 			return err
 		}
 	}
-	listener, err := net.Listen("tcp4", s.Frontend)
+	listener, err := d.listenTCP(s.Frontend)
 	if err != nil {
 		return err
 	}
@@ -65,7 +68,7 @@
 
 // listen serves an endpoint.
 func (d *Daemon) listen(e endpoint) error {
-	listener, err := net.Listen("tcp4", e.address)
+	listener, err := d.listenTCP(e.address)
 	if err != nil {
 		return err
 	}
@@ -75,6 +78,27 @@
 	return nil
 }
 
+// listenTCP listens on an address. If the memory of the process is limited, so is what the
+// kernel receives on a connection and the process has not read yet, which counts as memory
+// of the process.
+func (d *Daemon) listenTCP(address string) (net.Listener, error) {
+	var config net.ListenConfig
+	if d.settings.MemoryBytes > 0 {
+		config.Control = limitReceiveBuffer
+	}
+	return config.Listen(context.Background(), "tcp4", address)
+}
+
+// limitReceiveBuffer sets the receive buffer of a socket, and of the connections that it
+// accepts. It implements net.ListenConfig.Control.
+func limitReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	var optErr error
+	err := raw.Control(func(fd uintptr) {
+		optErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
+	})
+	return errors.Join(err, optErr)
+}
+
 // serve runs a server, whose Serve method is run, until it is closed. If the
 // listener fails, it listens on the same address again: a daemon without a
 // listener would be ready for callers that it does not accept.
@@ -94,7 +118,7 @@
 	const interval = 100 * time.Millisecond
 	for {
 		time.Sleep(interval)
-		l, err := net.Listen("tcp4", address)
+		l, err := d.listenTCP(address)
 		if err == nil {
 			return l
 		}
