--- a/cassialatchgw/main.go
+++ b/cassialatchgw/main.go
@@ -19,9 +19,48 @@
 	"cassialatch.dev/platform"
 )
 
+// limits are the limits on callers that the command line sets; 0: derived from the
+// settings.
+type limits struct {
+	connections int   // open connections
+	bodyMemory  int64 // bytes of request bodies
+	headMemory  int64 // bytes of request heads
+}
+
+// limitError is returned for a limit that is negative.
+type limitError struct{ flag string }
+
+// Error implements error.
+func (e *limitError) Error() string { return "cassialatchgw: -" + e.flag + " is negative" }
+
+// apply sets the limits in the settings.
+func (l *limits) apply(s *daemon.Settings) error {
+	switch {
+	case l.connections < 0:
+		return &limitError{flagMaxConnections}
+	case l.bodyMemory < 0:
+		return &limitError{flagMaxBodyMemory}
+	case l.headMemory < 0:
+		return &limitError{flagMaxHeadMemory}
+	}
+	s.MaxConnections, s.MaxBodyMemory, s.MaxHeadMemory = l.connections, l.bodyMemory, l.headMemory
+	return nil
+}
+
+// Names of the flags for limits.
+const (
+	flagMaxConnections = "max-connections"
+	flagMaxBodyMemory  = "max-body-memory"
+	flagMaxHeadMemory  = "max-head-memory"
+)
+
 func main() {
 	metrics := flag.String("metrics", "", "port of the metrics endpoint; none if empty")
 	overload := flag.String("overload", "on", "on: while servers have too little capacity, the requests that cost callers least are delayed or refused; off: all are sent")
+	var callers limits
+	flag.IntVar(&callers.connections, flagMaxConnections, 0, "callers' open connections; 0: derived from the settings")
+	flag.Int64Var(&callers.bodyMemory, flagMaxBodyMemory, 0, "bytes of request bodies that are held at once; 0: derived from the settings")
+	flag.Int64Var(&callers.headMemory, flagMaxHeadMemory, 0, "bytes of request heads that are held at once; 0: derived from the settings")
 	// Signals are caught before anything else, so that a signal during the start
 	// does not kill the process.
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -39,7 +78,7 @@
 		signal.Reset() // SIGINT ends the program, also while it reads
 		os.Exit(check.check(os.Stdin, os.Stdout, os.Stderr))
 	}
-	if err := run(ctx, hup, *metrics, *overload); err != nil {
+	if err := run(ctx, hup, *metrics, *overload, &callers); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
@@ -47,7 +86,7 @@
 
 // run runs the daemon until the context ends and it has drained. metricsPort is
 // empty if metrics are not served.
-func run(ctx context.Context, hup <-chan os.Signal, metricsPort, overload string) error {
+func run(ctx context.Context, hup <-chan os.Signal, metricsPort, overload string, callers *limits) error {
 	s, err := platform.ReadSettings()
 	if err != nil {
 		return err
@@ -58,6 +97,9 @@
 	if metricsPort != "" {
 		s.Metrics = net.JoinHostPort(s.IP, metricsPort)
 	}
+	if err := callers.apply(&s.Settings); err != nil {
+		return err
+	}
 	source := platform.NewSource(s.StoreAddress, s.StoreValueBytes, boottime.Now)
 	source.Places = s.Places
 	d := daemon.New(s.Settings, daemon.Adapter{
--- a/gateway/daemon/listen.go
+++ b/gateway/daemon/listen.go
@@ -5,8 +5,11 @@
 	"errors"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"cassialatch.dev/gateway/boottime"
 	"cassialatch.dev/gateway/directory"
 	"cassialatch.dev/gateway/peers"
@@ -33,44 +36,72 @@
 		d.exchange.ShareServerState(d.servers)
 	}
 	dir := &directory.Directory{Self: s.Frontend, Ready: d.ready, Peers: d.peers}
-	endpoints := []struct {
-		address string
-		handler http.Handler
-	}{
-		{s.Control, peers.StateHandler(d.catalog)},
-		{s.Directory, d.adapter.DirectoryHandler(dir)},
-		{s.Readiness, d.adapter.ReadinessHandler(d.ready)},
-		{s.Metrics, d.metrics},
+	endpoints := []endpoint{
+		{"control", s.Control, controlConnections, peers.StateHandler(d.catalog)},
+		{"directory", s.Directory, directoryConnections, d.adapter.DirectoryHandler(dir)},
+		{"readiness", s.Readiness, auxConnections, d.adapter.ReadinessHandler(d.ready)},
+		{"metrics", s.Metrics, auxConnections, d.metrics},
 	}
-	for _, l := range endpoints {
-		if l.address == "" {
+	for _, e := range endpoints {
+		if e.address == "" {
 			continue
 		}
-		if err := d.listen(l.address, l.handler); err != nil {
+		if err := d.listen(e); err != nil {
 			return err
 		}
 	}
-	listener, err := net.Listen("tcp4", s.Frontend)
+	listener, err := d.listenTCP(s.Frontend)
 	if err != nil {
 		return err
 	}
-	go d.serve(listener, d.frontend.Serve)
+	go d.serve(listener, withTable(d.clients, d.frontend.Serve))
 	return nil
 }
 
-// listen serves an HTTP endpoint other than the frontend.
-func (d *Daemon) listen(address string, h http.Handler) error {
-	const headerTimeout, idleTimeout = 5 * time.Second, time.Minute
-	listener, err := net.Listen("tcp4", address)
+// frontendEndpoint names the frontend in the log.
+const frontendEndpoint = "frontend"
+
+// endpoint is an HTTP endpoint other than the frontend.
+type endpoint struct {
+	name     string // in the log
+	address  string // empty: not served
+	maxConns int    // open connections
+	handler  http.Handler
+}
+
+// listen serves an endpoint.
+func (d *Daemon) listen(e endpoint) error {
+	listener, err := d.listenTCP(e.address)
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	server := newAuxServer(e.handler)
 	d.auxServers = append(d.auxServers, server)
-	go d.serve(listener, server.Serve)
+	go d.serve(listener, withTable(d.clientTable(e.name, e.maxConns), server.Serve))
 	return nil
 }
 
+// listenTCP listens on an address. If the memory of the process is limited, so is what the
+// kernel receives on a connection and the process has not read yet, which counts as memory
+// of the process.
+func (d *Daemon) listenTCP(address string) (net.Listener, error) {
+	var config net.ListenConfig
+	if d.settings.MemoryBytes > 0 {
+		config.Control = limitReceiveBuffer
+	}
+	return config.Listen(context.Background(), "tcp4", address)
+}
+
+// limitReceiveBuffer sets the receive buffer of a socket, and of the connections that it
+// accepts. It implements net.ListenConfig.Control.
+func limitReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) {
+		// Where the option is not supported, the buffer has its usual size. That is no reason
+		// not to serve.
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
+	})
+}
+
 // serve runs a server, whose Serve method is run, until it is closed. If the
 // listener fails, it listens on the same address again: a daemon without a
 // listener would be ready for callers that it does not accept.
@@ -90,7 +121,7 @@
 	const interval = 100 * time.Millisecond
 	for {
 		time.Sleep(interval)
-		l, err := net.Listen("tcp4", address)
+		l, err := d.listenTCP(address)
 		if err == nil {
 			return l
 		}
