--- a/gateway/ingress/overload_test.go
+++ b/gateway/ingress/overload_test.go
@@ -23,7 +23,6 @@
 // overloaded is a fixture whose backend has one slot, which a peer's request takes.
 type overloaded struct {
 	*fixture
-	free    atomic.Bool // the slot is free
 	backend *backend
 }
 
