daemon: limits of endpoints fit in the descriptors

With 400 descriptors, 200 of them for files, crowds at the directory and the readiness endpoint took 401 (tests/clients, pipelined, slow_senders and slow_readers at endpoints): their limits of 256 and 64 and the connections that are being evicted did not depend on the descriptors. Now an endpoint gets at most a quarter of the descriptors that are not for files. The three tests pass, with 202 to 209 descriptors.

--- a/gateway/daemon/limits.go
+++ b/gateway/daemon/limits.go
@@ -87,6 +87,16 @@
 	return max(min(byMemory, byFiles), minConnections)
 }
 
+// endpointConnections returns the limit on the connections of an endpoint other than the
+// frontend: the given number, but where there are few descriptors at most a quarter of those
+// that are not for files. All limits together must fit in the descriptors.
+func (s *Settings) endpointConnections(n int) int {
+	if s.MaxFiles <= 0 {
+		return n
+	}
+	return min(n, max((s.MaxFiles-fileDescriptors)/4, minConnections))
+}
+
 // clientTable returns the table of the connections of an endpoint.
 func (d *Daemon) clientTable(endpoint string, maxConns int) *clientlimit.Table {
 	return clientlimit.NewTable(clientlimit.Options{
--- a/gateway/daemon/listen.go
+++ b/gateway/daemon/listen.go
@@ -77,7 +77,7 @@
 	}
 	server := newAuxServer(e.handler)
 	d.auxServers = append(d.auxServers, server)
-	go d.serve(listener, withTable(d.clientTable(e.name, e.maxConns), server.Serve))
+	go d.serve(listener, withTable(d.clientTable(e.name, d.settings.endpointConnections(e.maxConns)), server.Serve))
 	return nil
 }
 
