clientlimit: do not keep connections alive with the records of requests

The account of a body referred to the connection after the request had ended, so a kept record kept the buffers of its response.

--- a/gateway/clientlimit/bodies.go
+++ b/gateway/clientlimit/bodies.go
@@ -129,6 +129,7 @@
 	defer b.bodies.mu.Unlock()
 	b.unlist()
 	b.account.Close()
+	b.conn = nil // the record of the request may be kept
 }
 
 // makeRoom evicts stalled bodies, beginning with those that have made no progress for
