clientlimit: evict callers that do not read, last of all

Callers that did not read their responses held all connections until the deadlines of their requests, up to 60 s, and every new caller was refused: a request that was passed on was never evicted. A connection whose write has been blocked for 1 s is evicted now, after all others, and only at the limit on connections. TestTable_EvictsCallersThatDoNotRead fails without it.

--- a/gateway/clientlimit/conn.go
+++ b/gateway/clientlimit/conn.go
@@ -25,10 +25,15 @@
 	closing     class = iota
 	waitingLong       // for the rest of a head or body, for at least stallTime
 	idleLong
-	recent // waiting or idle for a shorter time
+	recent     // waiting or idle for a shorter time
+	notReading // has not read a part of its response for at least writeStallTime
 	neverEvicted
 )
 
+// writeStallTime is how long a caller must not have read its response before the connection
+// may be evicted. The request may have run, so it is evicted only after all others.
+const writeStallTime = time.Second
+
 // longAgo is a read deadline that ends a read at once. net/http uses the same one.
 var longAgo = time.Unix(1, 0)
 
@@ -58,13 +63,18 @@
 	// it was read from again, or is notCounted. net/http sets one when it waits for a request
 	// and another when it has found one.
 	deadlineCalls int8
-	pipelined     bool // the next request was found in the buffer of net/http
+	writingSince  time.Time // of the write in progress; zero if there is none
+	pipelined     bool      // the next request was found in the buffer of net/http
 }
 
 // class returns the retention class. table.mu must be held.
 func (c *Conn) class(now time.Time) class {
 	switch {
-	case c.evicted || c.state == stateRequest:
+	case c.evicted:
+		return neverEvicted
+	case c.state == stateRequest && !c.writingSince.IsZero() && now.Sub(c.writingSince) >= writeStallTime:
+		return notReading
+	case c.state == stateRequest:
 		return neverEvicted
 	case c.state == stateClosing:
 		return closing
@@ -76,7 +86,7 @@
 	return waitingLong
 }
 
-// evict ends the reads of the connection. table.mu must be held.
+// evict ends the reads of the connection, or its stalled write. table.mu must be held.
 func (c *Conn) evict() {
 	if c.state == stateClosing {
 		c.Conn.Close() // nothing reads
@@ -85,6 +95,9 @@
 	}
 	c.evicted, c.cause = true, CauseConnections
 	c.table.evicting++
+	if c.state == stateRequest { // its write is stalled
+		_ = c.Conn.SetWriteDeadline(longAgo)
+	}
 	// It fails only if the connection is closed already.
 	_ = c.Conn.SetReadDeadline(longAgo)
 }
@@ -110,6 +123,20 @@
 	return n, err
 }
 
+// Write implements net.Conn. It takes note of how long the caller does not read.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.setWriting(c.table.options.Now())
+	defer c.setWriting(time.Time{})
+	return c.Conn.Write(p)
+}
+
+// setWriting records since when a write is in progress.
+func (c *Conn) setWriting(since time.Time) {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	c.writingSince = since
+}
+
 // beginRead returns an error if nothing may be read any more.
 func (c *Conn) beginRead() error {
 	c.table.mu.Lock()
--- a/gateway/clientlimit/table.go
+++ b/gateway/clientlimit/table.go
@@ -32,8 +32,9 @@
 // connection takes the place of an existing one: first of one whose last response was sent
 // and that is closed soon, then of one that has waited for the rest of a request for at least
 // 500 ms, then of one that has been idle for as long, then of one that has waited or been
-// idle for a shorter time; of these, the one with the longest time. A connection whose
-// request was read is not evicted; if there are only such, the new one is closed.
+// idle for a shorter time, and last of one whose caller has not read its response for a
+// second; of these, the one with the longest time. Any other connection whose request was
+// read is not evicted; if there are only such, the new one is closed.
 type Table struct {
 	options Options
 	closed  chan struct{} // receives a value when an evicted connection was closed
--- a/gateway/clientlimit/table_test.go
+++ b/gateway/clientlimit/table_test.go
@@ -19,6 +19,15 @@
 	mu       sync.Mutex
 	deadline time.Time // for reads
 	closed   bool
+
+	writeDeadline time.Time
+}
+
+func (c *stubConn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeDeadline = t
+	return nil
 }
 
 func (c *stubConn) SetReadDeadline(t time.Time) error {
@@ -194,6 +203,25 @@
 	is.Equal(table.evicting, 0)
 }
 
+// Load pattern: callers that read no responses hold all connections until the deadlines of
+// their requests. Guards against the refusal of ordinary callers meanwhile, and against the
+// eviction of a caller that waits for its response or has only just stopped reading.
+func TestTable_EvictsCallersThatDoNotRead(t *testing.T) {
+	is := is.New(t)
+	table, clock, _ := newStubTable(2)
+	waits, stalled := table.add(&stubConn{}), table.add(&stubConn{})
+	reach["request"](waits)
+	reach["request"](stalled)
+	stalled.setWriting(clock.now())
+	clock.advance(writeStallTime / 2)
+	is.True(table.add(&stubConn{}) == nil)
+	clock.advance(writeStallTime / 2)
+	is.True(table.add(&stubConn{}) != nil)
+	is.True(stalled.evicted)
+	is.True(!waits.evicted)
+	is.Equal(stalled.Conn.(*stubConn).writeDeadline, longAgo)
+}
+
 // Guards against a request that is run although its caller was told, or will see, that it
 // was not, since its connection was evicted while the last of the body arrived.
 func TestTable_EvictedBodyIsNotComplete(t *testing.T) {
