--- a/gateway/ingress/avoid.go
+++ b/gateway/ingress/avoid.go
@@ -44,7 +44,7 @@
 		if p := q.h.Avoid.Pause(s.Incarnation()); p > 0 {
 			pause = shorter(pause, p)
 		} else if !q.tried[s.ID] {
-			cold = shorter(cold, q.untilTurn(s))
+			cold = shorter(cold, q.untilSendSlot(s))
 		}
 	}
 	switch {
--- a/gateway/ingress/choose.go
+++ b/gateway/ingress/choose.go
@@ -25,7 +25,7 @@
 func (q *request) choose() (*catalog.Server, choice) {
 	for {
 		server, chosen := q.place()
-		if server == nil || q.takeTurn(server, &chosen) {
+		if server == nil || q.takeSendSlot(server, &chosen) {
 			return server, chosen
 		}
 	}
@@ -67,14 +67,14 @@
 // serverState is what is known about a server when a request is placed.
 type serverState struct {
 	*catalog.Server
-	work      load.Work
-	coverage  cacheindex.Coverage // of the prompt's shared parts, in the server's cache
-	usage     float64             // parts recently sent to the server, decayed exponentially
-	penalty   float64             // in requests in flight
-	pace      float64             // how long work takes, relative to the usual time; 0: as usual
-	inBackoff bool
-	cold      bool
-	outOfTurn bool // it is cold and may be sent nothing now
+	work       load.Work
+	coverage   cacheindex.Coverage // of the prompt's shared parts, in the server's cache
+	usage      float64             // parts recently sent to the server, decayed exponentially
+	penalty    float64             // in requests in flight
+	pace       float64             // how long work takes, relative to the usual time; 0: as usual
+	inBackoff  bool
+	cold       bool
+	noSendSlot bool // it is cold and may be sent nothing now
 }
 
 // serverStates returns the state of each server, in the order of servers.
@@ -106,7 +106,7 @@
 	if warmup.LimitOf(q.service).Applies() {
 		for i := range states {
 			wait, cold := q.h.Warmup.Wait(servers[i].Incarnation())
-			states[i].cold, states[i].outOfTurn = cold, wait > 0
+			states[i].cold, states[i].noSendSlot = cold, wait > 0
 		}
 	}
 	return states
@@ -141,7 +141,7 @@
 		if q.tried[s.ID] || q.avoided(s.Server) {
 			continue
 		}
-		if s.outOfTurn {
+		if s.noSendSlot {
 			deferred = true
 			continue
 		}
--- a/gateway/ingress/cold.go
+++ b/gateway/ingress/cold.go
@@ -7,10 +7,10 @@
 	"cassialatch.dev/gateway/warmup"
 )
 
-// takeTurn returns false if the server, which place has returned, is cold and may not be
-// sent the request now: it turns out only here that it may have restarted, or another
+// takeSendSlot returns false if the server, which place has returned, is cold and may not be
+// sent the request now: only now is it known that it may have restarted, or another
 // request was faster.
-func (q *request) takeTurn(s *catalog.Server, chosen *choice) bool {
+func (q *request) takeSendSlot(s *catalog.Server, chosen *choice) bool {
 	limit := warmup.LimitOf(q.service)
 	if !limit.Applies() {
 		return true
@@ -39,9 +39,9 @@
 // left for. The header has milliseconds.
 const minColdRetryAfter = time.Millisecond
 
-// untilTurn returns the time until a server that is cold now may be sent a request, rounded
+// untilSendSlot returns the time until a server that is cold now may be sent a request, rounded
 // up to milliseconds. It returns 0 if the server is not cold.
-func (q *request) untilTurn(s *catalog.Server) time.Duration {
+func (q *request) untilSendSlot(s *catalog.Server) time.Duration {
 	if !warmup.LimitOf(q.service).Applies() {
 		return 0
 	}
--- a/gateway/ingress/cold_test.go
+++ b/gateway/ingress/cold_test.go
@@ -61,8 +61,8 @@
 	f.catalog.Adopt(state, nil, f.now())
 }
 
-// awaitTurn lets time pass until the cold server may be sent a request.
-func (f *coldFixture) awaitTurn(t *testing.T, id string) {
+// awaitSendSlot lets time pass until the cold server may be sent a request.
+func (f *coldFixture) awaitSendSlot(t *testing.T, id string) {
 	wait, cold := f.handler.Warmup.Wait(catalog.Incarnation{ID: id})
 	if !cold || wait <= 0 {
 		t.Fatalf("server %s: cold %v, wait %v", id, cold, wait)
@@ -80,9 +80,9 @@
 }
 
 // Load pattern: a server has come back cold and, without a request in flight, attracts all
-// of them. Guards against more of them than its turn, and against a refusal that does not
+// of them. Guards against more of them than its send slot allows, and against a refusal that does not
 // say when to come back.
-func TestHandler_ColdServerGetsOneRequestInItsTurn(t *testing.T) {
+func TestHandler_ColdServerGetsOneRequestInItsSlot(t *testing.T) {
 	is := is.New(t)
 	cold, warm := startBackend(t, respondOK), startBackend(t, respondOK)
 	f := newColdFixture(t, cold, warm)
@@ -93,7 +93,7 @@
 	is.Equal(cold.runs.Load(), int32(0))
 	is.Equal(f.records.wait(10)[9].ColdDeferred, 1)
 
-	f.awaitTurn(t, "b0")
+	f.awaitSendSlot(t, "b0")
 	for range 10 {
 		is.Equal(f.status(t), http.StatusOK)
 	}
@@ -108,7 +108,7 @@
 	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
 	seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 	is.NoErr(err)
-	is.True(seconds > 1.79 && seconds < 1.81) // b0 is warm; the first turn of b1 is after 2.3 s
+	is.True(seconds > 1.79 && seconds < 1.81) // b0 is warm; the first slot of b1 is after 2.3 s
 	is.Equal(f.records.wait(21)[20].Reason, ReasonServersCold)
 	is.Equal(f.records.wait(21)[20].Outcome, OutcomeNotRun)
 
@@ -120,16 +120,16 @@
 	is.True(cold.runs.Load() > runs+1) // warm
 }
 
-// Guards against callers that are told to come back when the turn of a cold server comes
-// although it is warm earlier: a turn comes after 4.6 s here, and after 22 s for one of 295
+// Guards against callers that are told to come back when the slot of a cold server comes
+// although it is warm earlier: a slot comes after 4.6 s here, and after 22 s for one of 295
 // daemons.
 func TestHandler_RetryAfterIsNotLaterThanServerIsWarm(t *testing.T) {
 	is := is.New(t)
 	f := newColdFixture(t, startBackend(t, respondOK))
 	f.handler.Warmup.Suspect(catalog.Incarnation{ID: "b0"}, warmup.Limit{PerSecond: 18, Duration: 3 * time.Second})
-	f.awaitTurn(t, "b0")
+	f.awaitSendSlot(t, "b0")
 	is.Equal(f.status(t), http.StatusOK)
-	resp, _, err := f.do(t, "/safe/x") // warm in 0.7 s, next turn in 4.6 s
+	resp, _, err := f.do(t, "/safe/x") // warm in 0.7 s, next slot in 4.6 s
 	is.NoErr(err)
 	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
 	seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
@@ -139,13 +139,13 @@
 	is.Equal(f.status(t), http.StatusOK)
 }
 
-// Guards against concurrent requests that share a turn.
-func TestHandler_ConcurrentRequestsDoNotShareTurnOfColdServer(t *testing.T) {
+// Guards against concurrent requests that share a slot.
+func TestHandler_ConcurrentRequestsDoNotShareSlotOfColdServer(t *testing.T) {
 	is := is.New(t)
 	cold := startBackend(t, respondOK)
 	f := newColdFixture(t, cold)
 	f.publishCold("b0")
-	f.awaitTurn(t, "b0")
+	f.awaitSendSlot(t, "b0")
 	var served atomic.Int32
 	var wg sync.WaitGroup
 	for range 16 {
@@ -160,9 +160,9 @@
 	is.Equal(cold.runs.Load(), int32(1))
 }
 
-// Guards against a stream that is resumed at a cold server out of its turn, and against a
-// resumption that does not use the turn.
-func TestHandler_ResumedStreamUsesTurnOfColdServer(t *testing.T) {
+// Guards against a stream that is resumed at a cold server outside its slot, and against a
+// resumption that does not use the slot.
+func TestHandler_ResumedStreamUsesSlotOfColdServer(t *testing.T) {
 	is := is.New(t)
 	broken, cold := startBackend(t, streamEvents(2, 5, false)), startBackend(t, streamEvents(5, 5, true))
 	f := newColdFixture(t, broken, cold)
@@ -177,7 +177,7 @@
 	f.publishCold("b1")
 	f.handler.Health = health.New(time.Now)
 	f.handler.Loads.Begin((&catalog.Server{ID: "b1"}).Tag(), 0) // so that b0 comes first
-	f.awaitTurn(t, "b1")
+	f.awaitSendSlot(t, "b1")
 	_, body, err := f.do(t, "/stream/x")
 	is.NoErr(err)
 	is.True(len(body) > 0)
