tests/soak: the request after the floods has time of its own

Traced with the log of the daemon: the 1,200 connections took 5.5 s to open, the last flood ended at 11.5 s, and its caller sleeps for 7 s more.

--- a/tests/soak/flood_test.go
+++ b/tests/soak/flood_test.go
@@ -241,7 +241,10 @@
 	is.True(peak <= floodMemoryMB<<20) // its VM has no more
 	is.True(served > 0)                // callPlain has returned early otherwise
 	is.Equal(wrong.Load(), int32(0))   // "not run" is true
-	is.True(f.callPlain(ctx, time.Second) > 0)
+	// The time of the floods may be over on a busy machine.
+	last, cancelLast := context.WithTimeout(t.Context(), 3*floodDeadline)
+	defer cancelLast()
+	is.True(f.callPlain(last, time.Second) > 0)
 }
 
 // callPlain sends requests to the sound service for a while. It returns how many were
