--- a/review/two/cmd/crowd/main.go
+++ b/review/two/cmd/crowd/main.go
@@ -27,20 +27,23 @@
 	bodyBytes   = 20000 // below maxBodyBytes, 4,194,304
 	// waves is the most crowds that come, one after the other. The case ends with the first
 	// one that makes the gateway exceed its memory.
-	waves       = 10
-	calmWaves   = 3 // the time of so many passes without the disruption
-	openTime    = 2 * time.Second // over which a crowd connects
-	stopTime    = time.Second     // for which it stops short of its end
-	stayTime    = 4 * time.Second // for which it reads answers
+	waves     = 8
+	calmWaves = 3               // the time of so many passes without the disruption
+	openTime  = 2 * time.Second // over which a crowd connects
+	stopTime  = time.Second     // for which it stops short of its end
+	stayTime  = 6 * time.Second // for which it reads answers
 
 	callers      = 16 // ordinary callers of each gateway
 	bookingWork  = 60 * time.Millisecond
 	bookingLimit = 4 * time.Second // deadline of a booking
-	streamWork   = 500 * time.Millisecond
+	streamEvents = 12              // of a stream
+	eventWork    = 250 * time.Millisecond
 	streamLimit  = 12 * time.Second // deadline of a crowd's request
-	slots, queue = 64, 192          // of a model server, as in the site file
-	restartDelay = 500 * time.Millisecond
-	lostBound    = 3 // LOST: more than three times
+	// Backend servers, and slots and queue of a model server, as in the site file.
+	bookingServers, modelServers = 4, 18
+	slots, queue                 = 64, 192
+	restartDelay                 = 500 * time.Millisecond
+	lostBound                    = 3 // LOST: more than three times
 )
 
 // booking is an ordinary caller's request.
@@ -106,7 +109,7 @@
 }
 
 func (s *scene) addServers() error {
-	for i := range 4 {
+	for i := range bookingServers {
 		b, err := s.fleet.AddServer(fmt.Sprintf("i-booking-%d", i), kit.Booking, &s.ledger)
 		if err != nil {
 			return err
@@ -115,10 +118,14 @@
 			time.Sleep(bookingWork)
 			return srv.Respond(w, r, id)
 		}
+	}
+	for i := range modelServers {
 		m, err := s.fleet.AddServer(fmt.Sprintf("i-model-%d", i), kit.Model, &kit.Ledger{})
 		if err != nil {
 			return err
 		}
+		m.Slots = slots
+		m.Register()
 		m.Work = streamer()
 	}
 	return nil
@@ -139,10 +146,13 @@
 		defer func() { <-admitted }()
 		running <- struct{}{}
 		defer func() { <-running }()
-		time.Sleep(streamWork)
-		event := "id: 1\ndata: done\n\n"
-		_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nCassialatch-Attempt-Id: %s\r\nCassialatch-Response-Signature: %s.%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n",
-			id, srv.ID, id, len(event), event)
+		_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nCassialatch-Attempt-Id: %s\r\nCassialatch-Response-Signature: %s.%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, srv.ID, id)
+		for n := 1; n <= streamEvents && err == nil; n++ {
+			time.Sleep(eventWork)
+			event := fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, id, n)
+			_, err = fmt.Fprintf(w, "%x\r\n%s\r\n", len(event), event)
+		}
+		_, _ = io.WriteString(w, "0\r\n\r\n")
 		return err == nil
 	}
 }
--- a/review/two/kit/fleet.go
+++ b/review/two/kit/fleet.go
@@ -153,7 +153,8 @@
 		name = p
 	}
 	g.cmd = exec.Command(name, "-metrics", strconv.Itoa(g.metrics))
-	g.cmd.Env = append(os.Environ(), "CASSIALATCH_NODE_FILE="+g.path)
+	// A machine shows one core. Here that is set, since this one has more.
+	g.cmd.Env = append(os.Environ(), "CASSIALATCH_NODE_FILE="+g.path, "GOMAXPROCS=1")
 	g.cmd.Stdout, g.cmd.Stderr = out, out
 	g.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := g.cmd.Start(); err != nil {
--- a/review/two/kit/server.go
+++ b/review/two/kit/server.go
@@ -75,6 +75,7 @@
 type Server struct {
 	ID, Service, Addr string
 	Born              int64
+	Slots             int // as registered
 	Ledger            *Ledger
 	// Work is called for each run. It writes the response to w and returns whether the
 	// channel stays open. If it is nil, Respond is used.
@@ -94,7 +95,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{ID: id, Service: service, Addr: l.Addr().String(), Born: bornAt + int64(len(f.Servers)), Ledger: ledger, l: l, store: f.Store, stop: make(chan struct{})}
+	s := &Server{ID: id, Service: service, Addr: l.Addr().String(), Born: bornAt + int64(len(f.Servers)), Slots: 16, Ledger: ledger, l: l, store: f.Store, stop: make(chan struct{})}
 	f.Servers = append(f.Servers, s)
 	go s.serve()
 	s.Register()
@@ -105,7 +106,7 @@
 // Register writes the server's entry.
 func (s *Server) Register() {
 	s.store.PutJSON("servers/"+s.ID, map[string]any{
-		"service": s.Service, "address": s.Addr, "zone": "sala-tintes", "version": "v1", "slots": 16, "state": "ready",
+		"service": s.Service, "address": s.Addr, "zone": "sala-tintes", "version": "v1", "slots": s.Slots, "state": "ready",
 		"coldRemainingMs": 0, "sequence": time.Now().UnixMilli() - bornAt, "born": s.Born,
 	})
 }
