--- a/review/two/kit/server.go
+++ b/review/two/kit/server.go
@@ -84,6 +84,30 @@
 	l     net.Listener
 	store *Store
 	stop  chan struct{}
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+}
+
+// CloseConns resets all connections of the server.
+func (s *Server) CloseConns() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+}
+
+// track adds a connection to those that CloseConns resets, or removes it.
+func (s *Server) track(c net.Conn, open bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if open {
+		s.conns[c] = true
+		return
+	}
+	delete(s.conns, c)
 }
 
 // bornAt is the start of the first server; each further one starts a millisecond later.
@@ -95,7 +119,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{ID: id, Service: service, Addr: l.Addr().String(), Born: bornAt + int64(len(f.Servers)), Slots: 16, Ledger: ledger, l: l, store: f.Store, stop: make(chan struct{})}
+	s := &Server{ID: id, Service: service, Addr: l.Addr().String(), Born: bornAt + int64(len(f.Servers)), Slots: 16, Ledger: ledger, l: l, store: f.Store, stop: make(chan struct{}), conns: make(map[net.Conn]bool)}
 	f.Servers = append(f.Servers, s)
 	go s.serve()
 	s.Register()
@@ -147,6 +171,8 @@
 
 func (s *Server) serveConn(c net.Conn) {
 	defer c.Close()
+	s.track(c, true)
+	defer s.track(c, false)
 	br := bufio.NewReader(c)
 	for {
 		r, err := readRequest(br)
