review: case 10, servers that have left are listed again long after an outage of the store

A script case for DRAIN: a gateway that has not read the store since an outage takes its next read for the end of that outage, however long ago it was, and retains servers that have been removed meanwhile.

--- a/review/two/kit/fleet.go
+++ b/review/two/kit/fleet.go
@@ -62,6 +62,11 @@
 	return list, nil
 }
 
+const (
+	smallFleet    = 3
+	largeFleetNet = 40
+)
+
 // NewFleet starts a store with the configuration, the given servers, and n gateways.
 // change, if not nil, may change the settings of each gateway before it starts.
 func NewFleet(n int, c Config, change func(i int, s Settings)) (*Fleet, error) {
@@ -81,6 +86,9 @@
 	}
 	at := ports{p[0], p[1], p[2], p[3], p[4], p[5]}
 	net3 := os.Getpid()%200 + 20
+	if n != smallFleet {
+		net3 = largeFleetNet // the same addresses in each run
+	}
 	for i := range n {
 		f.Gateways = append(f.Gateways, f.newGateway(i, fmt.Sprintf("127.77.%d.%d", net3, i+1), net3, at, store.Addr))
 		if change != nil {
@@ -236,3 +244,6 @@
 
 // PID returns the process's ID.
 func (g *Gateway) PID() int { return g.cmd.Process.Pid }
+
+// Wait waits until the process has ended.
+func (g *Gateway) Wait() { <-g.done }
--- a/review/two/kit/server.go
+++ b/review/two/kit/server.go
@@ -84,6 +84,8 @@
 	l     net.Listener
 	store *Store
 	stop  chan struct{}
+	left  chan struct{} // closed when the entry is removed
+	leave sync.Once
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -119,7 +121,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{ID: id, Service: service, Addr: l.Addr().String(), Born: bornAt + int64(len(f.Servers)), Slots: 16, Ledger: ledger, l: l, store: f.Store, stop: make(chan struct{}), conns: make(map[net.Conn]bool)}
+	s := &Server{ID: id, Service: service, Addr: l.Addr().String(), Born: bornAt + int64(len(f.Servers)), Slots: 16, Ledger: ledger, l: l, store: f.Store, stop: make(chan struct{}), left: make(chan struct{}), conns: make(map[net.Conn]bool)}
 	f.Servers = append(f.Servers, s)
 	go s.serve()
 	s.Register()
@@ -143,12 +145,21 @@
 		select {
 		case <-s.stop:
 			return
+		case <-s.left:
+			return
 		case <-t.C:
 			s.Register()
 		}
 	}
 }
 
+// Leave removes the server's entry and returns when that was acknowledged. The server goes on
+// serving. It never reports that it drains, as the page allows.
+func (s *Server) Leave() time.Time {
+	s.leave.Do(func() { close(s.left) })
+	return s.store.Delete("servers/" + s.ID)
+}
+
 // Close stops the server.
 func (s *Server) Close() {
 	select {
--- a/review/two/kit/store.go
+++ b/review/two/kit/store.go
@@ -31,6 +31,7 @@
 	mu       sync.Mutex
 	revision int64
 	items    map[string]item
+	busy     bool // all calls get 503
 	history  []item
 	srv      *http.Server
 }
@@ -86,8 +87,25 @@
 	return time.Now()
 }
 
+// SetBusy makes the store turn all calls away with 503, or serve them again.
+func (s *Store) SetBusy(busy bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy = busy
+}
+
+func (s *Store) isBusy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.busy
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.isBusy() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	q := r.URL.Query()
 	switch r.URL.Path {
 	case "/kv-key":
