--- a/review/two/kit/server.go
+++ b/review/two/kit/server.go
@@ -41,34 +41,24 @@
 // Ledger records the runs at all servers of a fleet. It is safe for concurrent use.
 type Ledger struct {
 	mu   sync.Mutex
-	runs []Run
+	runs map[string][]Run // by ID of the request
 }
 
 // Add records a run.
 func (l *Ledger) Add(r Run) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.runs = append(l.runs, r)
+	if l.runs == nil {
+		l.runs = make(map[string][]Run)
+	}
+	l.runs[r.ID] = append(l.runs[r.ID], r)
 }
 
 // Of returns the runs of a request.
 func (l *Ledger) Of(id string) []Run {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var list []Run
-	for _, r := range l.runs {
-		if r.ID == id {
-			list = append(list, r)
-		}
-	}
-	return list
-}
-
-// All returns all runs.
-func (l *Ledger) All() []Run {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return append([]Run(nil), l.runs...)
+	return l.runs[id]
 }
 
 // Server is a backend server that keeps channels open.
