upstream: a response that is reset while its request is written is not complete

A server responded to a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. Callers got that part as a complete response, plain ones and streams.

Cause: the kernel reports a reset (or a timeout) of a connection once, to the read or the write that comes first. A request over 4 KiB is written by a goroutine of its own while the response is read. If the write was told of the reset, the next read returned io.EOF, which is the regular end of a body without a length. The error of the write was kept, but looked at only to decide whether the connection may be reused.

wire/tcpend reads the end of a connection with the state that the kernel holds: if only the server's side is closed, the body is complete, also while the request is still being sent. If the connection is closed both ways, writes fail at once, so the write in progress is waited for, and its error is that of the read. EPIPE says that the server had closed its side before the reset; that response is complete. A timeout that the write was told of is no longer taken for the server's end of the connection either (Lost), so it counts for no crash.

Callers get 502 or an aborted response, logged as connection_broken; where the route allows it the request is repeated or the stream resumed.

--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -16,6 +16,7 @@
 	"cassialatch.dev/gateway/boottime"
 	"cassialatch.dev/gateway/catalog"
 	"cassialatch.dev/gateway/memory"
+	"cassialatch.dev/wire/tcpend"
 )
 
 const (
@@ -49,8 +50,9 @@
 // conn is one connection to a backend server.
 type conn struct {
 	tcp       *net.TCPConn
+	stream    *tcpend.Conn     // reads from and writes to tcp
 	br        *bufio.Reader    // reads from Read, which applies readLimit
-	readLimit int64            // bytes that may still be read from tcp
+	readLimit int64            // bytes that may still be read from stream
 	head      []byte           // of the latest response, before it is parsed
 	unparsed  []byte           // bytes that were read for the head, and come first in Read
 	lost      bool             // the server's side has ended the connection
@@ -77,7 +79,12 @@
 		return nil, err
 	}
 	tcp := c.(*net.TCPConn)
-	conn := &conn{tcp: tcp, readLimit: math.MaxInt64}
+	stream, err := tcpend.New(tcp)
+	if err != nil {
+		tcp.Close()
+		return nil, err
+	}
+	conn := &conn{tcp: tcp, stream: stream, readLimit: math.MaxInt64}
 	conn.br = bufio.NewReaderSize(conn, readBufferSize)
 	return conn, nil
 }
@@ -96,7 +103,7 @@
 	if int64(len(p)) > c.readLimit {
 		p = p[:c.readLimit]
 	}
-	n, err := c.tcp.Read(p)
+	n, err := c.stream.Read(p)
 	c.readLimit -= int64(n)
 	if err != nil {
 		c.lost = endedByPeer(err)
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -157,12 +157,12 @@
 	}
 	if len(raw) <= maxSyncWrite {
 		defer close(w.done)
-		w.n, w.err = c.tcp.Write(raw)
+		w.n, w.err = c.stream.Write(raw)
 		return w, w.err
 	}
 	go func() {
 		defer close(w.done)
-		w.n, w.err = c.tcp.Write(raw)
+		w.n, w.err = c.stream.Write(raw)
 	}()
 	return w, nil
 }
