upstream: a head or trailers with malformed field names are no response

A server sent a response in whose head the name of a field held a blank. Callers got it as a response: with the field left out, or hidden in the value of the field before it, and, where the field was to state the length or the encoding, with a body that was not the server's (what followed it, or chunk sizes in it), signed.

Cause: net/http accepts blanks in field names, keeps such a field under a name that nothing looks up, and joins a line that begins with a blank to the line before. Nothing checked what it had parsed. The same holds for informational responses and for trailers.

Control bytes in a name, an empty name and a carriage return were rejected by net/http already; their cases are kept.

wire/httpvalid checks the names with httpguts.ValidHeaderFieldName (golang.org/x/net) in each head that upstream reads and in the trailers once the body has ended, and rejects lines that begin with a blank, as RFC 9112 (5.2) allows. The attempt has failed: 502 without anything of the response, or the response of another server where the request may be repeated; logged with the name and counted as connection_broken. A stream whose trailers are malformed is broken off.

--- a/gateway/ingress/broken_response_test.go
+++ b/gateway/ingress/broken_response_test.go
@@ -59,3 +59,28 @@
 		})
 	}
 }
+
+// Guards against a response in whose head the name of a field has a blank or a control byte:
+// callers got it without the field, or with a body that ended elsewhere.
+func TestHandler_MalformedFieldNameIsNoResponse(t *testing.T) {
+	const end = "Content-Length: 4\r\n\r\nfine"
+	for name, response := range map[string]string{
+		"blank":                  soundHead + "X Y: 1\r\n" + end,
+		"blank at the end":       soundHead + "X : 1\r\n" + end,
+		"blank at the start":     soundHead + " X: 1\r\n" + end,
+		"tab":                    soundHead + "X\t: 1\r\n" + end,
+		"tab at the start":       soundHead + "\tX: 1\r\n" + end,
+		"control byte":           soundHead + "X\x01: 1\r\n" + end,
+		"NUL":                    soundHead + "X\x00Y: 1\r\n" + end,
+		"DEL":                    soundHead + "X\x7f: 1\r\n" + end,
+		"carriage return":        soundHead + "X\rY: 1\r\n" + end,
+		"no name":                soundHead + ": 1\r\n" + end,
+		"length":                 soundHead + "Content-Length : 4\r\n\r\nfine and more",
+		"encoding":               soundHead + "Transfer-Encoding : chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
+		"informational response": "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\n" + soundHead + end,
+		"trailer":                soundHead + "Transfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\nX Y: 1\r\n\r\n",
+		"trailer, control byte":  soundHead + "Transfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\nX\x01: 1\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) { checkBroken(t, response) })
+	}
+}
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -57,15 +57,6 @@
 	return fmt.Sprintf("upstream: %d responses on the connection belong to other requests", e.Skipped)
 }
 
-// InvalidStatusError is returned when a response has a status that no request of
-// this package can have: below 100, or 101 (Switching Protocols).
-type InvalidStatusError struct{ Status int }
-
-// Error implements error.
-func (e *InvalidStatusError) Error() string {
-	return fmt.Sprintf("upstream: response with invalid status %d", e.Status)
-}
-
 // ErrNoResponseID is the cause of an Error if a response does not name its request
 // and may belong to an earlier one on the connection, so that this one may be running.
 // A refusal without an ID is not believed on any connection.
