upstream: a head with ambiguous framing or of another version is no response

A response in HTTP/1.0 with Transfer-Encoding reached callers with the sizes of its chunks in the body, and one with both Transfer-Encoding and Content-Length with one of the two bodies that it may have, each as the server's signed response. So did responses of HTTP/2.0 or HTTP/0.9.

Cause: net/http ignores Transfer-Encoding in HTTP/1.0, drops Content-Length beside Transfer-Encoding, and accepts each version with two digits. RFC 9112 (6.1, 6.3) asks to treat the first two as errors.

TestHandler_AmbiguousFramingIsNoResponse failed before in 5 of 12 cases: 200 in place of 502. The other 7 (lengths that differ, are lists, negative, signed or empty; unknown or repeated encodings) were broken responses already.

httpvalid.CheckLines looks for both fields in the bytes of the head, since net/http removes them when it parses, and CheckHead rejects other major versions.

--- a/gateway/ingress/broken_response_test.go
+++ b/gateway/ingress/broken_response_test.go
@@ -84,3 +84,26 @@
 		t.Run(name, func(t *testing.T) { checkBroken(t, response) })
 	}
 }
+
+// Guards against a response that does not state the end of its body as HTTP/1.1 does: callers
+// got bytes of its framing, or one of two possible bodies.
+func TestHandler_AmbiguousFramingIsNoResponse(t *testing.T) {
+	const fields = "Id: ID\r\nSignature: x\r\n"
+	const chunks = "\r\n4\r\nfine\r\n0\r\n\r\n"
+	for name, response := range map[string]string{
+		"chunks in HTTP/1.0":  "HTTP/1.0 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n" + chunks,
+		"encoding and length": soundHead + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n" + chunks,
+		"length and encoding": soundHead + "content-length: 19\r\ntransfer-encoding: chunked\r\n" + chunks,
+		"two lengths":         soundHead + "Content-Length: 4\r\nContent-Length: 2\r\n\r\nfine",
+		"list of lengths":     soundHead + "Content-Length: 4, 4\r\n\r\nfine",
+		"negative length":     soundHead + "Content-Length: -4\r\n\r\nfine",
+		"signed length":       soundHead + "Content-Length: +4\r\n\r\nfine",
+		"empty length":        soundHead + "Content-Length: \r\n\r\nfine",
+		"unknown encoding":    soundHead + "Transfer-Encoding: gzip, chunked\r\n" + chunks,
+		"two encodings":       soundHead + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" + chunks,
+		"HTTP/2.0":            "HTTP/2.0 200 OK\r\n" + fields + "Content-Length: 4\r\n\r\nfine",
+		"HTTP/0.9":            "HTTP/0.9 200 OK\r\n" + fields + "Content-Length: 4\r\n\r\nfine",
+	} {
+		t.Run(name, func(t *testing.T) { checkBroken(t, response) })
+	}
+}
--- a/wire/httpvalid/httpvalid.go
+++ b/wire/httpvalid/httpvalid.go
@@ -8,6 +8,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -24,6 +25,16 @@
 	return fmt.Sprintf("response with invalid status %d", e.Status)
 }
 
+// VersionError is returned for a response of another major version of HTTP than 1.
+type VersionError struct{ Proto string }
+
+// Error implements error.
+func (e *VersionError) Error() string { return fmt.Sprintf("response of version %q", e.Proto) }
+
+// ErrAmbiguousFraming is returned for a head that has Transfer-Encoding beside Content-Length
+// or in HTTP/1.0, so that it is uncertain where the body ends.
+var ErrAmbiguousFraming = errors.New("response with ambiguous framing")
+
 // FieldError is returned for a field with an invalid name, in a head or in the trailers.
 type FieldError struct{ Name string }
 
@@ -43,23 +54,33 @@
 }
 
 // CheckHead checks the head of a response, which may be an informational one. It returns a
-// *StatusError or a *FieldError.
+// *StatusError, a *VersionError or a *FieldError.
 func CheckHead(r *http.Response) error {
-	if r.StatusCode < http.StatusContinue || r.StatusCode == http.StatusSwitchingProtocols {
+	switch {
+	case r.StatusCode < http.StatusContinue || r.StatusCode == http.StatusSwitchingProtocols:
 		return &StatusError{Status: r.StatusCode}
+	case r.ProtoMajor != 1:
+		return &VersionError{Proto: r.Proto}
 	}
 	return CheckHeader(r.Header)
 }
 
 // CheckLines checks the bytes of a head, up to and including its empty line. It returns a
 // *FieldError for a line that begins with a blank: net/http adds it to the value of the field
-// before it (obsolete line folding), which hides the field that the line may be.
+// before it (obsolete line folding), which hides the field that the line may be. It returns
+// ErrAmbiguousFraming for what net/http ignores.
 func CheckLines(head []byte) error {
+	var length, encoding bool
 	for line := range bytes.Lines(head) {
+		name, _, _ := bytes.Cut(line, []byte(":"))
 		if line[0] == ' ' || line[0] == '\t' {
-			name, _, _ := bytes.Cut(line, []byte(":"))
 			return &FieldError{Name: string(name)}
 		}
+		length = length || bytes.EqualFold(name, []byte("Content-Length"))
+		encoding = encoding || bytes.EqualFold(name, []byte("Transfer-Encoding"))
+	}
+	if encoding && (length || bytes.HasPrefix(head, []byte("HTTP/1.0 "))) {
+		return ErrAmbiguousFraming
 	}
 	return nil
 }
