platform, peers: a body that breaks off after its JSON value is not complete

A response of the store, of a peer or of a server's cache listing was taken for complete as soon as its first JSON value was: also if its length was not reached or its last chunk was missing, and if a second value, other bytes or another response followed.

Cause: json.Decoder stops at the end of a value. Nothing read on to the end of the body.

httpvalid.DecodeJSON reads to the end of the body, within the limits as before, and allows only white space after the value.

--- a/gateway/peers/fetch.go
+++ b/gateway/peers/fetch.go
@@ -15,6 +15,7 @@
 
 	"cassialatch.dev/gateway/boottime"
 	"cassialatch.dev/gateway/catalog"
+	"cassialatch.dev/wire/httpvalid"
 )
 
 // statePath is the HTTP path at which a daemon serves its state to peers.
@@ -254,7 +255,7 @@
 // decodeResponse decodes a state and its configuration document.
 func decodeResponse(body io.ReadCloser) (*stateResponse, error) {
 	var response stateResponse
-	if err := json.NewDecoder(http.MaxBytesReader(nil, body, maxStateBytes)).Decode(&response); err != nil {
+	if err := httpvalid.DecodeJSON(http.MaxBytesReader(nil, body, maxStateBytes), &response); err != nil {
 		return nil, err
 	}
 	if response.Revision <= 0 || !isAge(response.AgeMS) {
