--- a/gateway/peers/broken_test.go
+++ b/gateway/peers/broken_test.go
@@ -73,3 +73,19 @@
 		t.Run(name, func(t *testing.T) { fetchRaw(t, response) })
 	}
 }
+
+// Guards against a malformed response, of a peer in trouble or of something else at its
+// address, that is taken for the peer's state.
+func TestFetch_RejectsMalformedResponse(t *testing.T) {
+	length := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(stateJSON), stateJSON)
+	for name, response := range map[string]string{
+		"status 000":             "HTTP/1.1 000 Odd\r\n" + length,
+		"status 101":             "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n",
+		"version":                "HTTP/2.0 200 OK\r\n" + length,
+		"blank in a field name":  "HTTP/1.1 200 OK\r\nX Y: 1\r\n" + length,
+		"informational response": "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + length,
+		"trailer":                fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\nX Y: 1\r\n\r\n", len(stateJSON), stateJSON),
+	} {
+		t.Run(name, func(t *testing.T) { fetchRaw(t, response) })
+	}
+}
--- a/gateway/peers/fetch.go
+++ b/gateway/peers/fetch.go
@@ -161,11 +161,11 @@
 	return &HTTPFetcher{
 		client: &http.Client{
 			Timeout: fetchTimeout,
-			Transport: &http.Transport{
+			Transport: httpvalid.Transport{Transport: &http.Transport{
 				DisableKeepAlives:      true, // a connection may have fallen silent since it was last used
 				DisableCompression:     true,
 				MaxResponseHeaderBytes: maxHeaderBytes,
-			},
+			}},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 		catalog: c,
