fleet/backend: a response that is reset while its request is written is not complete

A response without a length that was reset while a long request was still being sent was forwarded as a complete one.

Here net/http's transport writes the request and closes the connection when the write fails, but a read in between returns io.EOF.

Complete responses that come early still get through (TestClientDo_ForwardsCompleteEarlyResponse).

The connections are tcpend.Conns.

--- a/fleet/backend/conn.go
+++ b/fleet/backend/conn.go
@@ -6,6 +6,8 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+
+	"cassialatch.dev/wire/tcpend"
 )
 
 // countedConn counts the bytes written to a backend server. The outcome "not
@@ -23,14 +25,19 @@
 }
 
 // countingDial returns a dial function for http.Transport whose connections are
-// countedConns.
+// countedConns, on which a reset does not look like the end of a response.
 func countingDial(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &countedConn{Conn: conn}, nil
+		checked, err := tcpend.New(conn.(*net.TCPConn))
+		if err != nil {
+			conn.Close()
+			return nil, err
+		}
+		return &countedConn{Conn: checked}, nil
 	}
 }
 
