--- a/cassialatch/internal/daemonclient/client.go
+++ b/cassialatch/internal/daemonclient/client.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"time"
 
+	"cassialatch.dev/wire/httpvalid"
 	"cassialatch.dev/wire/operatorapi"
 )
 
@@ -86,7 +87,7 @@
 		return nil, newStatusError(resp)
 	}
 	body := new(T)
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(body); err != nil {
+	if err := httpvalid.DecodeJSON(http.MaxBytesReader(nil, resp.Body, maxResponseBytes), body); err != nil {
 		return nil, &InvalidResponseError{Path: path, cause: err}
 	}
 	return body, nil
--- a/fleet/backend/client.go
+++ b/fleet/backend/client.go
@@ -23,6 +23,7 @@
 
 	"cassialatch.dev/outcome"
 	"cassialatch.dev/wire/engineapi"
+	"cassialatch.dev/wire/httpvalid"
 )
 
 // Limits of connections to backend servers.
@@ -228,7 +229,7 @@
 		return report, errors.Wrap(err, "backend: read load report")
 	}
 	if err == nil {
-		err = json.NewDecoder(bytes.NewReader(body)).Decode(&report)
+		err = httpvalid.DecodeJSON(bytes.NewReader(body), &report)
 	}
 	if err != nil {
 		return engineapi.LoadReport{}, &ReportError{Address: address, Cause: err}
--- a/fleet/platform/client.go
+++ b/fleet/platform/client.go
@@ -7,9 +7,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -18,6 +16,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cassialatch.dev/wire/httpvalid"
 	"cassialatch.dev/wire/platformapi"
 )
 
@@ -133,7 +132,7 @@
 
 	switch resp.StatusCode {
 	case http.StatusOK:
-		err = json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(out)
+		err = httpvalid.DecodeJSON(http.MaxBytesReader(nil, resp.Body, maxResponseBytes), out)
 		return errors.Wrap(err, "platform: decode")
 	case http.StatusNotModified:
 		return ErrNotModified
