fleet, cassialatch: malformed responses of servers, the platform and daemons are errors

Their clients use httpvalid.Transport. It can't see what net/http joins or drops as it parses: lines that continue the one before, and Transfer-Encoding beside Content-Length or in HTTP/1.0, are still accepted there, in contrast to the gateway, which reads the bytes of the heads.

--- a/cassialatch/internal/daemonclient/broken_test.go
+++ b/cassialatch/internal/daemonclient/broken_test.go
@@ -36,6 +36,20 @@
 	return err
 }
 
+// Guards against a malformed response that is taken for the daemon's.
+func TestClient_RejectsMalformedResponse(t *testing.T) {
+	for name, response := range map[string]string{
+		"status 000":            "HTTP/1.1 000 Odd\r\nContent-Length: 2\r\n\r\n{}",
+		"blank in a field name": "HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 2\r\n\r\n{}",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var unreachable *UnreachableError
+			is.True(errors.As(status(t, response), &unreachable))
+		})
+	}
+}
+
 // Guards against a response that is taken for complete although it breaks off or goes on after
 // its JSON value.
 func TestClient_RejectsBrokenBody(t *testing.T) {
--- a/cassialatch/internal/daemonclient/options.go
+++ b/cassialatch/internal/daemonclient/options.go
@@ -12,6 +12,7 @@
 	"cassialatch.dev/config/problem"
 	"cassialatch.dev/config/setting"
 	"cassialatch.dev/fleet/mtls"
+	"cassialatch.dev/wire/httpvalid"
 )
 
 // Options holds the address of a daemon and the TLS settings of the connection.
@@ -39,7 +40,7 @@
 		return nil, err
 	}
 	transport := &http.Transport{MaxResponseHeaderBytes: maxHeaderBytes}
-	client := &Client{address: o.Address, scheme: "http", http: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
+	client := &Client{address: o.Address, scheme: "http", http: &http.Client{Transport: httpvalid.Transport{Transport: transport}, CheckRedirect: noRedirect}}
 	if o.TLSOff {
 		return client, nil
 	}
--- a/fleet/backend/client.go
+++ b/fleet/backend/client.go
@@ -71,9 +71,9 @@
 
 // Client sends requests to backend servers. It is safe for concurrent use.
 type Client struct {
-	pooled  *http.Transport // idempotent calls
-	single  *http.Transport // other calls: one connection for each, so that none is sent twice
-	control *http.Client    // load reports and orders
+	pooled  httpvalid.Transport // idempotent calls
+	single  httpvalid.Transport // other calls: one connection for each, so that none is sent twice
+	control *http.Client        // load reports and orders
 }
 
 // NewClient returns a Client. If wrapControl is not nil, it wraps each connection
@@ -107,9 +107,9 @@
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	return &Client{
-		pooled:  pooled,
-		single:  single,
-		control: &http.Client{Transport: control, CheckRedirect: noRedirect},
+		pooled:  httpvalid.Transport{Transport: pooled},
+		single:  httpvalid.Transport{Transport: single},
+		control: &http.Client{Transport: httpvalid.Transport{Transport: control}, CheckRedirect: noRedirect},
 	}
 }
 
--- a/fleet/node/run.go
+++ b/fleet/node/run.go
@@ -15,6 +15,7 @@
 	"cassialatch.dev/fleet/pause"
 	"cassialatch.dev/fleet/peer"
 	"cassialatch.dev/fleet/traffic"
+	"cassialatch.dev/wire/httpvalid"
 )
 
 // Times of a graceful shutdown.
@@ -211,7 +212,7 @@
 // counts their traffic.
 func (n *Node) platformTransport() http.RoundTripper {
 	var dialer net.Dialer
-	return &http.Transport{
+	return httpvalid.Transport{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -220,5 +221,5 @@
 			return n.meter.Conn(traffic.KindPlatform, conn), nil
 		},
 		MaxResponseHeaderBytes: maxPlatformHeaderBytes,
-	}
+	}}
 }
