--- a/fleet/backend/limits_test.go
+++ b/fleet/backend/limits_test.go
@@ -138,17 +138,6 @@
 	})
 }
 
-// Guards against a load report that is used although its response goes on after the JSON value.
-func TestClientReport_RejectsTrailingData(t *testing.T) {
-	is := is.New(t)
-	client := NewClient(nil)
-	defer client.Close()
-	address, _ := sendRaw(t, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n{}{}")
-	_, err := client.Report(t.Context(), address)
-	var invalid *ReportError
-	is.True(errors.As(err, &invalid))
-}
-
 // A body without end is forwarded in small parts until the context of the call ends.
 func TestClientDoEndsEndlessBodyWithContext(t *testing.T) {
 	for _, contentType := range []string{eventStream, "application/json"} {
--- a/fleet/backend/reset_test.go
+++ b/fleet/backend/reset_test.go
@@ -1,9 +1,6 @@
 package backend
 
 import (
-	"bufio"
-	"bytes"
-	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -11,37 +8,11 @@
 	"github.com/matryer/is"
 
 	"cassialatch.dev/outcome"
+	"cassialatch.dev/standin/rawserver"
 )
 
-// unreadBody is a request body that exceeds the socket buffers of a connection.
-var unreadBody = bytes.Repeat([]byte("u"), 6<<20)
-
-// respondEarly starts a server that reads the head of a request, responds with the bytes while
-// the body is being sent, and then passes the connection to end. It returns its address.
-func respondEarly(t *testing.T, response string, end func(c *net.TCPConn)) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				_, _ = io.WriteString(c, response)
-				end(c.(*net.TCPConn))
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
+// unreadBody is a request body whose write lasts until the connection ends.
+var unreadBody = make([]byte, rawserver.UnreadBytes)
 
 // headSink reports when it has received the head of a response.
 type headSink struct {
@@ -63,10 +34,9 @@
 	const calls = 1000
 	is := is.New(t)
 	sink := &headSink{received: make(chan struct{}, 1)}
-	address := respondEarly(t, "HTTP/1.1 200 OK\r\n\r\npart", func(c *net.TCPConn) {
+	address := rawserver.Start(t, "HTTP/1.1 200 OK\r\n\r\npart", func(c *net.TCPConn) {
 		<-sink.received
-		_ = c.SetLinger(0)
-		c.Close()
+		rawserver.Reset(c)
 	})
 	client := NewClient(nil)
 	defer client.Close()
@@ -87,9 +57,9 @@
 // still being sent, and read on.
 func TestClientDo_ForwardsCompleteEarlyResponse(t *testing.T) {
 	is := is.New(t)
-	address := respondEarly(t, "HTTP/1.1 200 OK\r\n\r\nwhole", func(c *net.TCPConn) {
+	address := rawserver.Start(t, "HTTP/1.1 200 OK\r\n\r\nwhole", func(c *net.TCPConn) {
 		_ = c.CloseWrite()
-		_, _ = io.Copy(io.Discard, c)
+		rawserver.ReadOn(c)
 	})
 	client := NewClient(nil)
 	defer client.Close()
--- a/gateway/ingress/early_response_test.go
+++ b/gateway/ingress/early_response_test.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -16,37 +15,16 @@
 	"cassialatch.dev/gateway/call"
 	"cassialatch.dev/gateway/route"
 	"cassialatch.dev/gateway/upstream"
+	"cassialatch.dev/standin/rawserver"
 )
 
-// unreadBody is a request body that exceeds the socket buffers of a connection to a server.
-var unreadBody = bytes.Repeat([]byte("u"), 6<<20)
+// unreadBody is a request body that is still being sent to a server when that responds.
+var unreadBody = make([]byte, rawserver.UnreadBytes)
 
-// startEarlyServer starts a backend that responds with the bytes once it has read the head of a
-// request, and then passes the connection, on which the body is being sent, to end.
+// startEarlyServer starts a backend that responds with the bytes while a body is being sent,
+// and then passes the connection to end.
 func startEarlyServer(t *testing.T, response string, end func(c *net.TCPConn)) *backend {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				req, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = io.WriteString(c, strings.ReplaceAll(response, "ID", req.Header.Get("Id")))
-				end(c.(*net.TCPConn))
-			}()
-		}
-	}()
-	return &backend{address: l.Addr().String()}
+	return &backend{address: rawserver.Start(t, strings.ReplaceAll(response, "ID", "r1"), end)}
 }
 
 // upload sends unreadBody and returns the status and body of the response, and the error from
@@ -109,7 +87,7 @@
 			is := is.New(t)
 			reset := make(chan struct{}, uploads)
 			f := newUploadFixture(t, startEarlyServer(t, soundHead+"\r\n"+c.body, func(c *net.TCPConn) {
-				resetConn(nil, nil, c)
+				rawserver.Reset(c)
 				reset <- struct{}{}
 			}))
 			f.handler.Pool = upstream.NewPool(lateDialect{reset: reset})
@@ -129,9 +107,9 @@
 	stopped := make(chan struct{})
 	t.Cleanup(func() { close(stopped) })
 	for name, end := range map[string]func(c *net.TCPConn){
-		"reads on": func(c *net.TCPConn) { _, _ = io.Copy(io.Discard, c) },
+		"reads on": rawserver.ReadOn,
 		"stops":    func(*net.TCPConn) { <-stopped },
-		"resets":   func(c *net.TCPConn) { resetConn(nil, nil, c) },
+		"resets":   rawserver.Reset,
 	} {
 		for _, path := range []string{"/unsafe/x", "/once/x"} {
 			for framing, response := range map[string]string{
--- a/gateway/upstream/early_test.go
+++ b/gateway/upstream/early_test.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -13,34 +12,17 @@
 	"github.com/matryer/is"
 
 	"cassialatch.dev/gateway/catalog"
+	"cassialatch.dev/standin/rawserver"
 )
 
-// unsentBody is a request body that exceeds the socket buffers of a connection, so that its
-// write lasts until the server reads it or the connection ends.
-var unsentBody = strings.Repeat("u", 6<<20)
+// unsentBody is a request body whose write lasts until the server reads it or the connection
+// ends.
+var unsentBody = strings.Repeat("u", rawserver.UnreadBytes)
 
-// respondEarly starts a server that reads the head of a request, responds with the bytes
-// while the body is being sent, and then passes the connection to end.
+// respondEarly starts a server that responds with the bytes while a body is being sent, and
+// then passes the connection to end.
 func respondEarly(t *testing.T, response string, end func(c *net.TCPConn)) *catalog.Server {
-	s, _ := listen(t, func(c net.Conn, br *bufio.Reader) {
-		defer c.Close()
-		for line := ""; line != "\r\n"; {
-			var err error
-			if line, err = br.ReadString('\n'); err != nil {
-				return
-			}
-		}
-		if _, err := io.WriteString(c, response); err == nil {
-			end(c.(*net.TCPConn))
-		}
-	})
-	return s
-}
-
-// resetConn closes the connection with a TCP reset.
-func resetConn(c *net.TCPConn) {
-	_ = c.SetLinger(0)
-	c.Close()
+	return &catalog.Server{ID: "a", Address: rawserver.Start(t, response, end)}
 }
 
 // Guards against a response without a length that looks complete after its connection was
@@ -60,7 +42,7 @@
 			reset := make(chan struct{})
 			s := respondEarly(t, response, func(c *net.TCPConn) {
 				<-reset
-				resetConn(c)
+				rawserver.Reset(c)
 			})
 			resp, err := p.Send(context.Background(), s, request("1", unsentBody))
 			is.NoErr(err)
@@ -83,9 +65,9 @@
 	stopped := make(chan struct{})
 	t.Cleanup(func() { close(stopped) })
 	for name, end := range map[string]func(c *net.TCPConn){
-		"reads on": func(c *net.TCPConn) { _, _ = io.Copy(io.Discard, c) },
+		"reads on": rawserver.ReadOn,
 		"stops":    func(*net.TCPConn) { <-stopped },
-		"resets":   resetConn,
+		"resets":   rawserver.Reset,
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -111,7 +93,7 @@
 	s := respondEarly(t, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nwhole", func(c *net.TCPConn) {
 		_ = c.CloseWrite()
 		<-reset
-		resetConn(c)
+		rawserver.Reset(c)
 	})
 	resp, err := p.Send(context.Background(), s, request("1", unsentBody))
 	is.NoErr(err)
