--- a/wire/httpvalid/httpvalid.go
+++ b/wire/httpvalid/httpvalid.go
@@ -38,8 +38,14 @@
 // FieldError is returned for a field with an invalid name, in a head or in the trailers.
 type FieldError struct{ Name string }
 
+// maxNameText limits the bytes of a name that the text of a FieldError quotes.
+const maxNameText = 64
+
 // Error implements error.
 func (e *FieldError) Error() string {
+	if len(e.Name) > maxNameText {
+		return fmt.Sprintf("response with invalid field name %q...", e.Name[:maxNameText])
+	}
 	return fmt.Sprintf("response with invalid field name %q", e.Name)
 }
 
